--- /dev/null
+++ b/src/lycheespool/cli/fwd.h
@@ -0,0 +1,7 @@
+#pragma once
+
+namespace lycheespool {
+
+int runCommand(int argc, char** argv);
+
+}
--- /dev/null
+++ b/src/lycheespool/net/asio.cpp
@@ -0,0 +1,4 @@
+#include "lycheespool/net/asio.h"
+
+#include <boost/asio/impl/src.hpp>
+#include <boost/beast/src.hpp>
--- /dev/null
+++ b/src/lycheespool/net/fwd.h
@@ -0,0 +1,13 @@
+#pragma once
+
+namespace lycheespool {
+
+class HttpClient;
+class HttpServer;
+class IoPool;
+class RpcConnection;
+struct Address;
+struct HttpRequest;
+struct HttpResponse;
+
+}
--- /dev/null
+++ b/src/lycheespool/wire/messages.h
@@ -0,0 +1,174 @@
+#pragma once
+
+#include "lycheespool/core/ids.h"
+#include "lycheespool/wire/adaptors.h"
+#include "lycheespool/wire/message_type.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace lycheespool {
+
+/*! @brief Kind of the endpoint beside an agent. */
+enum class EndpointKind : std::uint8_t { executor, worker };
+
+/*! @brief How recent the receiver's knowledge of the document is. */
+struct Freshness {
+    Revision revision;
+    std::uint64_t ageMs { 0 };
+    std::vector<ZoneId> zonesOut;
+    MSGPACK_DEFINE(revision, ageMs, zonesOut)
+};
+
+/*! @brief State of one task, as its agent reports it. */
+struct TaskReport {
+    JobId job;
+    Attempt attempt;
+    std::uint32_t task { 0 };
+    std::string state;
+    std::string detail;
+    MSGPACK_DEFINE(job, attempt, task, state, detail)
+};
+
+/*! @brief First message of an agent: announces its endpoint. */
+struct Hello {
+    static constexpr auto type = MessageType::hello;
+
+    AgentId agent;
+    Incarnation incarnation;
+    EndpointKind kind { EndpointKind::executor };
+    ZoneId zone;
+    RackId rack;
+    std::uint32_t cores { 0 };
+    std::uint32_t memoryMiB { 0 };
+    std::uint32_t accelerators { 0 };
+    std::uint32_t slots { 0 };
+    MSGPACK_DEFINE(agent, incarnation, kind, zone, rack, cores, memoryMiB, accelerators, slots)
+};
+
+/*! @brief Answer to Hello. */
+struct HelloReply {
+    static constexpr auto type = MessageType::helloReply;
+
+    EntryId entry;
+    std::vector<std::string> entries;
+    Epoch epoch;
+    Freshness freshness;
+    MSGPACK_DEFINE(entry, entries, epoch, freshness)
+};
+
+/*! @brief Periodic report of an agent; renews the leases of all its tasks. */
+struct Heartbeat {
+    static constexpr auto type = MessageType::heartbeat;
+
+    Incarnation incarnation;
+    std::uint64_t sequence { 0 };
+    std::uint32_t slotsFree { 0 };
+    bool draining { false };
+    std::vector<TaskReport> tasks;
+    MSGPACK_DEFINE(incarnation, sequence, slotsFree, draining, tasks)
+};
+
+/*! @brief Answer to Heartbeat. */
+struct HeartbeatReply {
+    static constexpr auto type = MessageType::heartbeatReply;
+
+    Epoch epoch;
+    Freshness freshness;
+    std::vector<std::string> entries;
+    MSGPACK_DEFINE(epoch, freshness, entries)
+};
+
+/*! @brief A caller's request on its way to an executor. */
+struct Execute {
+    static constexpr auto type = MessageType::execute;
+
+    std::uint64_t request { 0 };
+    Incarnation incarnation;
+    bool idempotent { true };
+    std::uint64_t deadlineMs { 0 };
+    std::string key;
+    std::string body;
+    MSGPACK_DEFINE(request, incarnation, idempotent, deadlineMs, key, body)
+};
+
+/*! @brief What became of a request. */
+enum class Outcome : std::uint8_t {
+    done,
+    notRun,
+    unknown,
+};
+
+/*! @brief Answer to Execute. */
+struct ExecuteReply {
+    static constexpr auto type = MessageType::executeReply;
+
+    std::uint64_t request { 0 };
+    Incarnation incarnation;
+    Outcome outcome { Outcome::unknown };
+    std::uint32_t status { 0 };
+    std::uint32_t slotsFree { 0 };
+    std::string body;
+    MSGPACK_DEFINE(request, incarnation, outcome, status, slotsFree, body)
+};
+
+/*! @brief What a leader wants an agent to do with its part of a gang. */
+enum class OrderKind : std::uint8_t {
+    reserve,
+    start,
+    release,
+    checkpoint,
+    throttle,
+    stop,
+};
+
+/*! @brief Order of a leader to one agent. */
+struct Order {
+    static constexpr auto type = MessageType::order;
+
+    Epoch epoch;
+    Incarnation incarnation;
+    OrderKind kind { OrderKind::reserve };
+    JobId job;
+    Attempt attempt;
+    std::vector<std::uint32_t> tasks;
+    std::uint32_t coresPerTask { 0 };
+    std::uint32_t memoryMiBPerTask { 0 };
+    std::uint32_t acceleratorsPerTask { 0 };
+    std::uint64_t runTimeMs { 0 };
+    Revision revision;
+    MSGPACK_DEFINE(epoch, incarnation, kind, job, attempt, tasks, coresPerTask, memoryMiBPerTask, acceleratorsPerTask,
+        runTimeMs, revision)
+};
+
+/*! @brief Answer to Order. */
+struct OrderReply {
+    static constexpr auto type = MessageType::orderReply;
+
+    bool accepted { false };
+    std::string reason;
+    MSGPACK_DEFINE(accepted, reason)
+};
+
+/*! @brief The endpoint leaves and takes no new work. */
+struct Goodbye {
+    static constexpr auto type = MessageType::goodbye;
+
+    Incarnation incarnation;
+    MSGPACK_DEFINE(incarnation)
+};
+
+/*! @brief Answer to Goodbye. */
+struct GoodbyeReply {
+    static constexpr auto type = MessageType::goodbyeReply;
+
+    bool known { false };
+    MSGPACK_DEFINE(known)
+};
+
+}
+
+MSGPACK_ADD_ENUM(lycheespool::EndpointKind);
+MSGPACK_ADD_ENUM(lycheespool::Outcome);
+MSGPACK_ADD_ENUM(lycheespool::OrderKind);
--- /dev/null
+++ b/test/lycheespool/main.cpp
@@ -0,0 +1,2 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
