--- /dev/null
+++ b/src/lycheespool/agent/fwd.h
@@ -0,0 +1,11 @@
+#pragma once
+
+namespace lycheespool {
+
+class ExecutorEndpoint;
+class WorkerEndpoint;
+
+template <typename Endpoint>
+class EntryLink;
+
+}
