--- /dev/null
+++ b/src/lycheespool/request/membership.cpp
@@ -0,0 +1,52 @@
+#include "lycheespool/request/membership.h"
+
+#include <algorithm>
+
+namespace lycheespool {
+
+void Membership::join(const Hello& hello, std::shared_ptr<RpcConnection> connection, TimePoint now)
+{
+    auto node = std::make_shared<ExecutorNode>();
+    node->agent = hello.agent;
+    node->incarnation = hello.incarnation;
+    node->zone = hello.zone;
+    node->slots = hello.slots;
+    node->slotsFree = hello.slots;
+    node->connection = std::move(connection);
+    node->lastHeard = now.time_since_epoch().count();
+    m_nodes.update([&](Nodes& nodes) {
+        std::erase_if(nodes, [&](const auto& it) { return it->agent == hello.agent; });
+        nodes.push_back(node);
+    });
+}
+
+void Membership::report(const AgentId& agent, const Heartbeat& heartbeat, TimePoint now)
+{
+    const auto nodes = m_nodes.load();
+    const auto it = std::ranges::find(*nodes, agent, &ExecutorNode::agent);
+    if (it == nodes->end() || (*it)->incarnation != heartbeat.incarnation)
+        return;
+    (*it)->slotsFree = heartbeat.slotsFree;
+    (*it)->lastHeard = now.time_since_epoch().count();
+    if (heartbeat.draining)
+        (*it)->draining = true;
+}
+
+bool Membership::leave(const AgentId& agent, Incarnation incarnation)
+{
+    const auto nodes = m_nodes.load();
+    const auto it = std::ranges::find(*nodes, agent, &ExecutorNode::agent);
+    if (it == nodes->end() || (*it)->incarnation != incarnation)
+        return false;
+    (*it)->draining = true;
+    return true;
+}
+
+void Membership::disconnect(const RpcConnection* connection)
+{
+    m_nodes.update([&](Nodes& nodes) {
+        std::erase_if(nodes, [&](const auto& it) { return it->connection.get() == connection; });
+    });
+}
+
+}
