--- /dev/null
+++ b/src/lycheespool/agent/entry_link.h
@@ -0,0 +1,167 @@
+#pragma once
+
+#include "lycheespool/agent/endpoint.h"
+#include "lycheespool/core/error.h"
+#include "lycheespool/core/log.h"
+#include "lycheespool/core/metrics.h"
+#include "lycheespool/net/address.h"
+#include "lycheespool/net/sleep.h"
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace lycheespool {
+
+/*! @brief Time between two heartbeats of an agent. */
+inline constexpr Duration heartbeatInterval = std::chrono::milliseconds { 500 };
+/*! @brief Longest time to wait for the answer to a heartbeat before the connection is given up. */
+inline constexpr Duration heartbeatTimeout = std::chrono::seconds { 3 };
+/*! @brief Time between two attempts to connect to an entry. */
+inline constexpr Duration reconnectInterval = std::chrono::milliseconds { 500 };
+
+/**
+ * @brief Keeps an agent connected to one entry: announces the endpoint, sends heartbeats, passes on messages.
+ * @tparam EndpointType Model of Endpoint.
+ */
+template <Endpoint EndpointType>
+class EntryLink : public std::enable_shared_from_this<EntryLink<EndpointType>> {
+public:
+    /*! @brief Called with the addresses of all entries that an entry knows. */
+    using EntriesHandler = std::function<void(const std::vector<std::string>&)>;
+
+    /**
+     * @brief Makes a link.
+     * @param endpoint The endpoint; must outlive the link.
+     * @param address RPC address of the entry.
+     * @param metrics Registry for counters.
+     * @param entriesHandler Receives lists of entries.
+     */
+    EntryLink(EndpointType& endpoint, Address address, Metrics& metrics, EntriesHandler entriesHandler)
+        : m_endpoint { endpoint }
+        , m_address { std::move(address) }
+        , m_metrics { metrics }
+        , m_entriesHandler { std::move(entriesHandler) }
+    {
+    }
+
+    /**
+     * @brief Connects again and again until stop() or until the entry was unreachable for long.
+     * @param giveUpAfter Time without any contact after which the link ends; an entry that was replaced has another
+     * address.
+     */
+    [[nodiscard]] Awaitable<> run(Duration giveUpAfter)
+    {
+        const auto self = this->shared_from_this();
+        auto lastContact = SteadyClock {}.now();
+        while (!m_stopped && SteadyClock {}.now() - lastContact < giveUpAfter) {
+            if (co_await connectAndServe())
+                lastContact = SteadyClock {}.now();
+            co_await sleepFor(reconnectInterval);
+        }
+    }
+
+    /*! @brief Ends the link and its connection. */
+    void stop()
+    {
+        m_stopped = true;
+        if (m_connection)
+            m_connection->close();
+    }
+
+    /**
+     * @brief Tells the entry that the endpoint leaves.
+     * @param incarnation Incarnation of the endpoint.
+     */
+    [[nodiscard]] Awaitable<> sayGoodbye(Incarnation incarnation)
+    {
+        const auto connection = m_connection;
+        if (!connection)
+            co_return;
+        Goodbye goodbye;
+        goodbye.incarnation = incarnation;
+        try {
+            (void)co_await connection->template call<GoodbyeReply>(goodbye, heartbeatTimeout);
+        } catch (const Error& error) {
+            log(LogLevel::warning, "entry {} did not confirm the departure: {}", m_address.toString(), error.what());
+        }
+    }
+
+    /**
+     * @brief Sends a heartbeat out of turn and hands its answer to the endpoint.
+     * @return False when there was no answer.
+     */
+    [[nodiscard]] Awaitable<bool> exchangeHeartbeat()
+    {
+        const auto connection = m_connection;
+        if (!connection)
+            co_return false;
+        const auto sent = SteadyClock {}.now();
+        auto heartbeat = m_endpoint.heartbeat();
+        try {
+            const auto reply
+                = co_await connection->template call<HeartbeatReply>(std::move(heartbeat), heartbeatTimeout);
+            m_endpoint.received(reply, sent);
+            m_entriesHandler(reply.entries);
+            co_return true;
+        } catch (const Error&) {
+            connection->close();
+            co_return false;
+        }
+    }
+
+private:
+    [[nodiscard]] Awaitable<bool> connectAndServe()
+    {
+        const auto executor = co_await asio::this_coro::executor;
+        asio::ip::tcp::socket socket { executor };
+        boost::system::error_code ec;
+        const auto endpoint = m_address.endpoint();
+        co_await socket.async_connect(endpoint, asio::redirect_error(asio::use_awaitable, ec));
+        if (ec)
+            co_return false;
+        m_connection = std::make_shared<RpcConnection>(std::move(socket), m_metrics);
+        asio::co_spawn(executor, readLoop(m_connection), asio::detached);
+        const bool greeted = co_await greet();
+        while (greeted && !m_stopped && m_connection->isOpen() && co_await exchangeHeartbeat())
+            co_await sleepFor(heartbeatInterval);
+        m_connection->close();
+        m_connection.reset();
+        if (greeted)
+            log(LogLevel::info, "connection to entry {} ended", m_address.toString());
+        co_return greeted;
+    }
+
+    [[nodiscard]] Awaitable<> readLoop(std::shared_ptr<RpcConnection> connection)
+    {
+        const auto self = this->shared_from_this();
+        co_await connection->run(
+            [self](const auto& source, Envelope envelope) { self->m_endpoint.handle(source, std::move(envelope)); });
+    }
+
+    [[nodiscard]] Awaitable<bool> greet()
+    {
+        auto hello = m_endpoint.hello();
+        const auto connection = m_connection;
+        try {
+            const auto reply = co_await connection->template call<HelloReply>(std::move(hello), heartbeatTimeout);
+            log(LogLevel::info, "connected to entry {} at {}", reply.entry.value(), m_address.toString());
+            m_entriesHandler(reply.entries);
+            co_return true;
+        } catch (const Error& error) {
+            log(LogLevel::warning, "entry {} refused the announcement: {}", m_address.toString(), error.what());
+            co_return false;
+        }
+    }
+
+    EndpointType& m_endpoint;
+    Address m_address;
+    Metrics& m_metrics;
+    EntriesHandler m_entriesHandler;
+    std::shared_ptr<RpcConnection> m_connection;
+    bool m_stopped { false };
+};
+
+}
--- /dev/null
+++ b/src/lycheespool/cli/dev_system.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "lycheespool/agent/agent_process.h"
+#include "lycheespool/agent/executor_endpoint.h"
+#include "lycheespool/core/metrics.h"
+#include "lycheespool/entry/entry_process.h"
+#include "lycheespool/platform/executor_service.h"
+#include "lycheespool/platform/table_service.h"
+
+#include <memory>
+#include <vector>
+
+namespace lycheespool {
+
+/*! @brief A whole small system in one process: table, one entry, executors in three zones with their agents. */
+class DevSystem {
+public:
+    /**
+     * @brief Builds the system on free loopback ports.
+     * @param pool Threads to use.
+     * @param http Address for clients and operators.
+     * @param executors Number of executors.
+     */
+    DevSystem(IoPool& pool, const Address& http, std::size_t executors);
+
+    ~DevSystem();
+    DevSystem(const DevSystem&) = delete;
+    DevSystem& operator=(const DevSystem&) = delete;
+
+    /*! @brief Starts everything. */
+    void start();
+
+    /**
+     * @brief Stops everything in the order of a planned stop.
+     * @return True when nothing was cut.
+     */
+    [[nodiscard]] Awaitable<bool> drain();
+
+private:
+    struct ExecutorUnit;
+
+    Metrics m_metrics;
+    TableService m_table;
+    std::unique_ptr<EntryProcess> m_entry;
+    std::vector<std::unique_ptr<ExecutorUnit>> m_executors;
+};
+
+}
--- a/src/lycheespool/cli/fwd.h
+++ b/src/lycheespool/cli/fwd.h
@@ -2,6 +2,14 @@
 
 namespace lycheespool {
 
-int runCommand(int argc, char** argv);
+class SettingsParser;
+
+/**
+ * @brief Runs the role that the first argument names.
+ * @param argc Number of arguments.
+ * @param argv Arguments.
+ * @return Exit code: 0 on success, 1 on a failed operation, 2 on a bad setting, 3 when a planned stop cut work.
+ */
+[[nodiscard]] int runCommand(int argc, char** argv);
 
 }
--- /dev/null
+++ b/src/lycheespool/entry/agent_directory.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "lycheespool/core/clock.h"
+#include "lycheespool/core/ids.h"
+#include "lycheespool/net/rpc_connection.h"
+#include "lycheespool/wire/messages.h"
+
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+
+namespace lycheespool {
+
+/*! @brief Connections of the agents that announced themselves here; carries orders to them. */
+class AgentDirectory {
+public:
+    /*! @brief An agent that announced itself. */
+    struct Agent {
+        Hello hello;
+        std::shared_ptr<RpcConnection> connection;
+    };
+
+    /**
+     * @brief Adds an agent or replaces its earlier connection.
+     * @param hello Announcement.
+     * @param connection Its connection.
+     */
+    void add(const Hello& hello, std::shared_ptr<RpcConnection> connection);
+
+    /**
+     * @brief Removes the agent of a connection that ended.
+     * @param connection The connection.
+     * @return The agent, unless it has announced itself again since.
+     */
+    std::optional<AgentId> remove(const RpcConnection* connection);
+
+    /**
+     * @brief Finds the agent of a connection.
+     * @param connection The connection.
+     * @return The announcement, if there was one.
+     */
+    [[nodiscard]] std::optional<Hello> find(const RpcConnection* connection) const;
+
+    /**
+     * @brief Sends an order; a model of OrderChannel.
+     * @param agent Receiver.
+     * @param order The order; its incarnation is filled in when it is 0.
+     * @param timeout Longest time to wait.
+     * @return The agent's reply.
+     * @throws Error of kind unavailable when the agent is not connected, otherwise as RpcConnection::call.
+     */
+    [[nodiscard]] Awaitable<OrderReply> send(const AgentId& agent, Order order, Duration timeout);
+
+private:
+    mutable std::mutex m_mutex;
+    std::map<AgentId, Agent> m_agents;
+};
+
+}
--- /dev/null
+++ b/src/lycheespool/entry/entry_process.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "lycheespool/core/metrics.h"
+#include "lycheespool/entry/agent_directory.h"
+#include "lycheespool/entry/entry_registry.h"
+#include "lycheespool/entry/entry_settings.h"
+#include "lycheespool/net/http_server.h"
+#include "lycheespool/net/rpc_server.h"
+#include "lycheespool/request/membership.h"
+#include "lycheespool/request/request_path.h"
+#include "lycheespool/store/http_table.h"
+
+#include <atomic>
+
+namespace lycheespool {
+
+/*! @brief An entry: HTTP for clients and operators, RPC for agents. */
+class EntryProcess {
+public:
+    /**
+     * @brief Binds the addresses.
+     * @param pool Threads; the first one runs control work.
+     * @param settings Settings.
+     * @param metrics Registry for counters.
+     */
+    EntryProcess(IoPool& pool, EntrySettings settings, Metrics& metrics);
+
+    /*! @brief Starts to serve. */
+    void start();
+
+    /**
+     * @brief Stops accepting, finishes the requests in flight, withdraws the registration.
+     * @return True when no request was cut.
+     */
+    [[nodiscard]] Awaitable<bool> drain();
+
+    /**
+     * @brief Gives the bound address for clients.
+     * @return Address with the real port.
+     */
+    [[nodiscard]] Address httpAddress() const { return m_http.address(); }
+
+    /**
+     * @brief Gives the bound address for agents.
+     * @return Address with the real port.
+     */
+    [[nodiscard]] Address rpcAddress() const { return m_rpc.address(); }
+
+private:
+    [[nodiscard]] Awaitable<HttpResponse> serve(HttpRequest request);
+    [[nodiscard]] Awaitable<HttpResponse> serveWorkspace(HttpRequest request);
+    [[nodiscard]] HttpResponse status() const;
+    void receive(const std::shared_ptr<RpcConnection>& connection, Envelope envelope);
+    void receiveHello(const std::shared_ptr<RpcConnection>& connection, const Envelope& envelope);
+    void receiveHeartbeat(const std::shared_ptr<RpcConnection>& connection, const Envelope& envelope);
+    void receiveGoodbye(const std::shared_ptr<RpcConnection>& connection, const Envelope& envelope);
+    void forget(const std::shared_ptr<RpcConnection>& connection);
+
+    IoPool& m_pool;
+    EntrySettings m_settings;
+    Metrics& m_metrics;
+    HttpTable m_table;
+    Membership m_membership;
+    AgentDirectory m_agents;
+    RequestPath<HttpTable> m_requests;
+    RpcServer m_rpc;
+    HttpServer m_http;
+    EntryRegistry<HttpTable> m_registry;
+    std::atomic<bool> m_draining { false };
+};
+
+}
--- /dev/null
+++ b/src/lycheespool/entry/entry_registry.h
@@ -0,0 +1,123 @@
+#pragma once
+
+#include "lycheespool/core/error.h"
+#include "lycheespool/core/ids.h"
+#include "lycheespool/core/log.h"
+#include "lycheespool/core/published.h"
+#include "lycheespool/net/address.h"
+#include "lycheespool/net/sleep.h"
+#include "lycheespool/store/table.h"
+
+#include <atomic>
+#include <chrono>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace lycheespool {
+
+/**
+ * @brief Registers this entry in the table and lists the others, so that agents learn where all entries are.
+ * @tparam TableType Model of Table.
+ */
+template <Table TableType>
+class EntryRegistry {
+public:
+    /*! @brief Time between two renewals of the registration. */
+    static constexpr Duration renewInterval = std::chrono::seconds { 5 };
+    /*! @brief An entry whose row stayed unchanged this long counts as gone; its row is deleted. */
+    static constexpr Duration expiry = std::chrono::seconds { 20 };
+
+    /**
+     * @brief Makes a registry.
+     * @param table Table service.
+     * @param entry Name of this entry.
+     * @param address RPC address of this entry.
+     */
+    EntryRegistry(TableType& table, EntryId entry, const Address& address)
+        : m_table { table }
+        , m_entry { std::move(entry) }
+        , m_address { address.toString() }
+    {
+        m_entries.store({ m_address });
+    }
+
+    /*! @brief Renews and lists until stop(). */
+    [[nodiscard]] Awaitable<> run()
+    {
+        while (!m_stopped) {
+            try {
+                co_await renew();
+                co_await list();
+            } catch (const Error&) {
+                // The last list stays in use while the table is unavailable.
+                ++m_failures;
+            }
+            co_await sleepFor(renewInterval);
+        }
+    }
+
+    /*! @brief Deletes the registration at a planned stop. */
+    [[nodiscard]] Awaitable<> withdraw()
+    {
+        m_stopped = true;
+        Transaction transaction;
+        transaction.writes.push_back({ keyOf(m_entry.value()), std::nullopt });
+        try {
+            co_await m_table.commit(std::move(transaction));
+        } catch (const Error& error) {
+            log(LogLevel::warning, "registration stays until it expires: {}", error.what());
+        }
+    }
+
+    /**
+     * @brief Lists the RPC addresses of all entries.
+     * @return Addresses as text, this entry's included.
+     */
+    [[nodiscard]] std::vector<std::string> entries() const { return *m_entries.load(); }
+
+private:
+    struct Seen {
+        std::uint64_t version;
+        TimePoint since;
+    };
+
+    [[nodiscard]] static std::string keyOf(const std::string& entry) { return "entry/" + entry; }
+
+    [[nodiscard]] Awaitable<> renew()
+    {
+        Transaction transaction;
+        transaction.writes.push_back({ keyOf(m_entry.value()), m_address });
+        co_await m_table.commit(std::move(transaction));
+    }
+
+    [[nodiscard]] Awaitable<> list()
+    {
+        const auto rows = co_await m_table.list("entry/");
+        const auto now = SteadyClock {}.now();
+        std::vector<std::string> entries;
+        Transaction cleanup;
+        for (const auto& it : rows) {
+            auto& seen = m_seen.try_emplace(it.key, Seen { it.version, now }).first->second;
+            if (seen.version != it.version)
+                seen = { it.version, now };
+            if (now - seen.since < expiry)
+                entries.push_back(it.value);
+            else
+                cleanup = { { { it.key, it.version } }, { { it.key, std::nullopt } } };
+        }
+        m_entries.store(std::move(entries));
+        if (!cleanup.writes.empty())
+            co_await m_table.commit(std::move(cleanup));
+    }
+
+    TableType& m_table;
+    EntryId m_entry;
+    std::string m_address;
+    Published<std::vector<std::string>> m_entries;
+    std::map<std::string, Seen> m_seen;
+    std::atomic<std::uint64_t> m_failures { 0 };
+    std::atomic<bool> m_stopped { false };
+};
+
+}
--- /dev/null
+++ b/src/lycheespool/entry/fwd.h
@@ -0,0 +1,9 @@
+#pragma once
+
+namespace lycheespool {
+
+class AgentDirectory;
+class EntryProcess;
+struct EntrySettings;
+
+}
--- a/src/lycheespool/net/http_message.h
+++ b/src/lycheespool/net/http_message.h
@@ -45,6 +45,8 @@
     std::vector<HttpField> fields;
     std::string body;
     std::string contentType { "application/json" };
+    /*! @brief Ends the connection without sending the response; emulators use it for lost answers. */
+    bool dropConnection { false };
 
     /**
      * @brief Finds a header field.
--- a/src/lycheespool/net/http_server.cpp
+++ b/src/lycheespool/net/http_server.cpp
@@ -2,6 +2,7 @@
 
 #include "lycheespool/core/error.h"
 #include "lycheespool/core/log.h"
+#include "lycheespool/net/acceptor.h"
 #include "lycheespool/net/sleep.h"
 
 #include <boost/beast/core.hpp>
@@ -235,6 +236,10 @@
             response = toProblem(error);
         }
     }
+    if (response.dropConnection) {
+        --inFlight;
+        co_return false;
+    }
     auto message = toMessage(std::move(response), version, keepAlive && !draining);
     stream.expires_after(std::chrono::duration_cast<std::chrono::nanoseconds>(limits.requestTimeout));
     co_await http::async_write(stream, message, asio::redirect_error(asio::use_awaitable, ec));
@@ -266,25 +271,12 @@
 HttpServer::HttpServer(IoPool& pool, const Address& address, Metrics& metrics, Handler handler, HttpServerLimits limits)
     : m_state { std::make_shared<State>(pool, metrics, std::move(handler), limits) }
 {
-    boost::system::error_code ec;
-    const auto endpoint = address.endpoint();
-    m_state->acceptor.open(endpoint.protocol(), ec);
-    m_state->acceptor.set_option(tcp::acceptor::reuse_address { true }, ec);
-    m_state->acceptor.bind(endpoint, ec);
-    if (!ec)
-        m_state->acceptor.listen(asio::socket_base::max_listen_connections, ec);
-    if (ec)
-        throw Error { ErrorKind::invalidSetting, "cannot listen on " + address.toString() + ": " + ec.message(),
-            "choose another address or stop the process that uses it" };
+    listenOn(m_state->acceptor, address);
 }
 
 HttpServer::~HttpServer() = default;
 
-Address HttpServer::address() const
-{
-    const auto endpoint = m_state->acceptor.local_endpoint();
-    return { endpoint.address().to_string(), endpoint.port() };
-}
+Address HttpServer::address() const { return boundAddress(m_state->acceptor); }
 
 void HttpServer::start()
 {
