--- a/src/lycheespool/entry/entry_registry.h
+++ b/src/lycheespool/entry/entry_registry.h
@@ -23,6 +23,8 @@
 template <Table TableType>
 class EntryRegistry {
 public:
+    /*! @brief Time between two reads of the list, which bounds how late agents learn of a new entry. */
+    static constexpr Duration listInterval = std::chrono::seconds { 1 };
     /*! @brief Time between two renewals of the registration. */
     static constexpr Duration renewInterval = std::chrono::seconds { 5 };
     /*! @brief An entry whose row stayed unchanged this long counts as gone; its row is deleted. */
@@ -47,13 +49,14 @@
     {
         while (!m_stopped) {
             try {
-                co_await renew();
+                if (SteadyClock {}.now() >= m_nextRenewal)
+                    co_await renew();
                 co_await list();
             } catch (const Error&) {
                 // The last list stays in use while the table is unavailable.
                 ++m_failures;
             }
-            co_await sleepFor(renewInterval);
+            co_await sleepFor(listInterval);
         }
     }
 
@@ -88,7 +91,9 @@
     {
         Transaction transaction;
         transaction.writes.push_back({ keyOf(m_entry.value()), m_address });
+        const auto sent = SteadyClock {}.now();
         co_await m_table.commit(std::move(transaction));
+        m_nextRenewal = sent + renewInterval;
     }
 
     [[nodiscard]] Awaitable<> list()
@@ -116,6 +121,7 @@
     std::string m_address;
     Published<std::vector<std::string>> m_entries;
     std::map<std::string, Seen> m_seen;
+    TimePoint m_nextRenewal;
     std::atomic<std::uint64_t> m_failures { 0 };
     std::atomic<bool> m_stopped { false };
 };
--- a/src/lycheespool/net/http_server.cpp
+++ b/src/lycheespool/net/http_server.cpp
@@ -9,6 +9,7 @@
 #include <boost/beast/http.hpp>
 #include <nlohmann/json.hpp>
 
+#include <array>
 #include <mutex>
 #include <set>
 
@@ -21,6 +22,9 @@
 namespace {
 
 constexpr std::uint32_t maxHeaderBytes = 8 * 1024;
+// Bounds of the input that is read and discarded after a refusal.
+constexpr std::size_t maxDiscardedBytes = std::size_t { 8 } * 1024 * 1024;
+constexpr auto maxDiscardTime = std::chrono::seconds { 2 };
 
 using Parser = http::request_parser<http::string_body>;
 using Response = http::response<http::string_body>;
@@ -130,6 +134,7 @@
     Awaitable<> serve(std::shared_ptr<beast::tcp_stream> stream);
     Awaitable<bool> serveOne(beast::tcp_stream& stream, beast::flat_buffer& buf);
     Awaitable<HttpResponse> answer(HttpRequest request);
+    Awaitable<> discardInput(beast::tcp_stream& stream);
     void closeIdle();
 
     IoPool& pool;
@@ -243,6 +248,8 @@
     auto message = toMessage(std::move(response), version, keepAlive && !draining);
     stream.expires_after(std::chrono::duration_cast<std::chrono::nanoseconds>(limits.requestTimeout));
     co_await http::async_write(stream, message, asio::redirect_error(asio::use_awaitable, ec));
+    if (bad && !ec)
+        co_await discardInput(stream);
     --inFlight;
     co_return !ec && message.keep_alive();
 }
@@ -261,6 +268,20 @@
     co_return response;
 }
 
+/*! @brief Reads what a refused client still sends; closing at once would reset the connection and lose the response. */
+Awaitable<> HttpServer::State::discardInput(beast::tcp_stream& stream)
+{
+    boost::system::error_code ec;
+    stream.socket().shutdown(tcp::socket::shutdown_send, ec);
+    stream.expires_after(maxDiscardTime);
+    std::array<char, 4096> buf {};
+    std::size_t discarded = 0;
+    while (!ec && discarded < maxDiscardedBytes) {
+        const auto space = asio::buffer(buf);
+        discarded += co_await stream.async_read_some(space, asio::redirect_error(asio::use_awaitable, ec));
+    }
+}
+
 void HttpServer::State::closeIdle()
 {
     const std::scoped_lock lock { streamsMutex };
