--- /dev/null
+++ b/src/lycheespool/platform/task_start.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "lycheespool/core/clock.h"
+#include "lycheespool/core/task_key.h"
+#include "lycheespool/placement/resources.h"
+
+namespace lycheespool {
+
+/*! @brief What a worker needs to start a task. */
+struct TaskStart {
+    TaskKey key;
+    Resources size;
+    /*! @brief Work that the task does, as its run time at full speed. */
+    Duration runTime {};
+    /*! @brief Time until the lease expires, unless it is renewed. */
+    Duration lease {};
+    /*! @brief Work that a checkpoint has saved. */
+    Duration progress {};
+};
+
+}
