--- a/src/lycheespool/agent/fwd.h
+++ b/src/lycheespool/agent/fwd.h
@@ -3,9 +3,14 @@
 namespace lycheespool {
 
 class ExecutorEndpoint;
+class FreshnessProof;
+class Reservations;
 class WorkerEndpoint;
 
 template <typename Endpoint>
 class EntryLink;
 
+template <typename Worker, typename Clock>
+class WorkerTasks;
+
 }
--- a/src/lycheespool/wire/messages.h
+++ b/src/lycheespool/wire/messages.h
@@ -28,7 +28,11 @@
     std::uint32_t task { 0 };
     std::string state;
     std::string detail;
-    MSGPACK_DEFINE(job, attempt, task, state, detail)
+    /*! @brief Work done so far, in milliseconds of run time at full speed. */
+    std::uint64_t progressMs { 0 };
+    /*! @brief Work that the last checkpoint saved. */
+    std::uint64_t checkpointMs { 0 };
+    MSGPACK_DEFINE(job, attempt, task, state, detail, progressMs, checkpointMs)
 };
 
 /*! @brief First message of an agent: announces its endpoint. */
@@ -67,7 +71,9 @@
     std::uint32_t slotsFree { 0 };
     bool draining { false };
     std::vector<TaskReport> tasks;
-    MSGPACK_DEFINE(incarnation, sequence, slotsFree, draining, tasks)
+    /*! @brief Whether tasks lists every task of the worker, so that a task that is absent does not run. */
+    bool complete { false };
+    MSGPACK_DEFINE(incarnation, sequence, slotsFree, draining, tasks, complete)
 };
 
 /*! @brief Answer to Heartbeat. */
@@ -138,8 +144,12 @@
     std::uint32_t acceleratorsPerTask { 0 };
     std::uint64_t runTimeMs { 0 };
     Revision revision;
+    /*! @brief Work that the tasks resume from when they start, in milliseconds of run time at full speed. */
+    std::uint64_t progressMs { 0 };
+    /*! @brief New speed for throttle, in percent of full speed. */
+    std::uint32_t speedPercent { 100 };
     MSGPACK_DEFINE(epoch, incarnation, kind, job, attempt, tasks, coresPerTask, memoryMiBPerTask, acceleratorsPerTask,
-        runTimeMs, revision)
+        runTimeMs, revision, progressMs, speedPercent)
 };
 
 /*! @brief Answer to Order. */
@@ -148,7 +158,9 @@
 
     bool accepted { false };
     std::string reason;
-    MSGPACK_DEFINE(accepted, reason)
+    /*! @brief Answer to checkpoint: least progress that is saved for the tasks of the order. */
+    std::uint64_t progressMs { 0 };
+    MSGPACK_DEFINE(accepted, reason, progressMs)
 };
 
 /*! @brief The endpoint leaves and takes no new work. */
