Add the leader's scheduler

Cause: placement decisions have to become orders and rows of jobs. Ruled out: carrying out decisions inside step(); a start takes up to 5 s and would hold up the renewal of the lease, so each gang has its own operation. Change: LeaseKeeper, JobStore, GangOrders and Scheduler; job rows with validation, and an inbox of changed jobs, so that the leader reads all jobs only after a takeover.

--- /dev/null
+++ b/src/lycheespool/scheduler/detail/scheduler_workers.h
@@ -0,0 +1,148 @@
+#pragma once
+
+// Workers and their agents in Scheduler.
+#include "lycheespool/scheduler/scheduler.h"
+
+namespace lycheespool {
+
+template <typename Policy, typename TableType, typename Orders, typename Clock>
+void Scheduler<Policy, TableType, Orders, Clock>::onHello(const AgentId& agent, const Hello& hello, TimePoint now)
+{
+    if (hello.kind != EndpointKind::worker)
+        return;
+    const WorkerId worker { agent.value() };
+    auto& view = m_agents[worker];
+    const auto before = view.spec();
+    view.greet(hello, now);
+    const auto& after = view.spec();
+    const bool same = before.zone == after.zone && before.rack == after.rack && before.capacity == after.capacity;
+    if (same || !view.joined)
+        return;
+    view.joined = false;
+    m_policy->workerLost(worker, now);
+    stopGangsOn(worker, "was replaced by another machine", now);
+}
+
+template <typename Policy, typename TableType, typename Orders, typename Clock>
+void Scheduler<Policy, TableType, Orders, Clock>::onHeartbeat(
+    const AgentId& agent, const Heartbeat& heartbeat, TimePoint now)
+{
+    const auto it = m_agents.find(WorkerId { agent.value() });
+    if (it != m_agents.end())
+        it->second.hear(heartbeat, now);
+}
+
+template <typename Policy, typename TableType, typename Orders, typename Clock>
+void Scheduler<Policy, TableType, Orders, Clock>::onDisconnected(const AgentId&, TimePoint)
+{
+    // The agent reconnects within its lease in most cases, so only its silence counts.
+}
+
+template <typename Policy, typename TableType, typename Orders, typename Clock>
+void Scheduler<Policy, TableType, Orders, Clock>::forgetSilent(TimePoint now)
+{
+    std::erase_if(m_agents, [&](const auto& it) { return now - it.second.lastHeard() >= workerLostAfter; });
+}
+
+template <typename Policy, typename TableType, typename Orders, typename Clock>
+void Scheduler<Policy, TableType, Orders, Clock>::loseWorkers(TimePoint now)
+{
+    for (auto it = m_agents.begin(); it != m_agents.end();) {
+        if (now - std::max(it->second.lastHeard(), m_observingSince) < workerLostAfter) {
+            ++it;
+            continue;
+        }
+        const auto worker = it->first;
+        const bool joined = it->second.joined;
+        it = m_agents.erase(it);
+        m_workersLost.add();
+        log(LogLevel::warning, "worker {} is lost", worker.value());
+        if (joined)
+            m_policy->workerLost(worker, now);
+    }
+}
+
+template <typename Policy, typename TableType, typename Orders, typename Clock>
+void Scheduler<Policy, TableType, Orders, Clock>::leaveWorkers(TimePoint now)
+{
+    for (auto& [worker, agent] : m_agents) {
+        if (!agent.joined || !agent.isDraining())
+            continue;
+        agent.joined = false;
+        m_policy->workerLost(worker, now);
+    }
+}
+
+template <typename Policy, typename TableType, typename Orders, typename Clock>
+void Scheduler<Policy, TableType, Orders, Clock>::joinWorkers(TimePoint now)
+{
+    const auto blocked = blockedWorkers();
+    for (auto& [worker, agent] : m_agents) {
+        const bool usable = agent.isKnown() && !agent.isDraining() && now >= agent.suspendedUntil;
+        if (agent.joined || !usable || blocked.contains(worker))
+            continue;
+        agent.joined = true;
+        m_policy->workerJoined(agent.spec(), now);
+    }
+}
+
+template <typename Policy, typename TableType, typename Orders, typename Clock>
+std::set<WorkerId> Scheduler<Policy, TableType, Orders, Clock>::blockedWorkers() const
+{
+    // The policy would count the capacity of such a worker as free although tasks may still use it.
+    std::set<WorkerId> blocked;
+    for (const auto& [id, job] : m_jobs) {
+        if (job->phase == GangPhase::stopping || (job->recovering && !isReady(*job)))
+            blocked.insert(job->record.workers.begin(), job->record.workers.end());
+    }
+    return blocked;
+}
+
+template <typename Policy, typename TableType, typename Orders, typename Clock>
+void Scheduler<Policy, TableType, Orders, Clock>::stopGangsOn(
+    const WorkerId& worker, const std::string& reason, TimePoint now)
+{
+    for (const auto& [id, job] : m_jobs) {
+        const auto& workers = job->record.workers;
+        if (job->phase == GangPhase::running && std::ranges::find(workers, worker) != workers.end())
+            beginStop(*job, JobState::queued, "worker " + worker.value() + " " + reason, false, now);
+    }
+}
+
+template <typename Policy, typename TableType, typename Orders, typename Clock>
+void Scheduler<Policy, TableType, Orders, Clock>::suspend(const WorkerId& worker, TimePoint now)
+{
+    const auto agent = m_agents.find(worker);
+    const bool used = std::ranges::any_of(m_jobs, [&](const auto& it) {
+        const auto& workers = it.second->record.workers;
+        return std::ranges::find(workers, worker) != workers.end();
+    });
+    // A worker with gangs stays with the policy, which would otherwise lose track of the capacity that they use.
+    if (agent == m_agents.end() || !agent->second.joined || used)
+        return;
+    agent->second.joined = false;
+    agent->second.suspendedUntil = now + suspension;
+    m_policy->workerLost(worker, now);
+}
+
+template <typename Policy, typename TableType, typename Orders, typename Clock>
+bool Scheduler<Policy, TableType, Orders, Clock>::isLost(const WorkerId& worker, TimePoint now) const
+{
+    return !m_agents.contains(worker) && now - m_observingSince >= workerLostAfter;
+}
+
+template <typename Policy, typename TableType, typename Orders, typename Clock>
+const AgentView* Scheduler<Policy, TableType, Orders, Clock>::agentOf(const WorkerId& worker) const
+{
+    const auto it = m_agents.find(worker);
+    return it == m_agents.end() ? nullptr : &it->second;
+}
+
+template <typename Policy, typename TableType, typename Orders, typename Clock>
+const TaskReport* Scheduler<Policy, TableType, Orders, Clock>::reportOf(const ManagedJob& job, std::uint32_t task) const
+{
+    const auto* const agent = agentOf(job.record.workers[task]);
+    return agent ? agent->find(job.key(task)) : nullptr;
+}
+
+}
--- /dev/null
+++ b/src/lycheespool/scheduler/write_outcome.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <cstdint>
+
+namespace lycheespool {
+
+/*! @brief What became of the write of a job's row. */
+enum class WriteOutcome : std::uint8_t {
+    written,
+    /*! @brief Nothing was written: a condition failed or the table is down. */
+    refused,
+    /*! @brief The answer was lost and the row could not be read back. */
+    unknown,
+};
+
+}
