--- /dev/null
+++ b/test/lycheespool/agent/worker_tasks.cpp
@@ -0,0 +1,222 @@
+#include "lycheespool/agent/worker_tasks.h"
+
+#include "lycheespool/platform/direct_worker.h"
+
+#include <doctest/doctest.h>
+
+using namespace lycheespool;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct Fixture {
+    Fixture()
+    {
+        clock.advance(1h);
+        restart(Incarnation { 7 });
+        reply(5);
+    }
+
+    void restart(Incarnation incarnation)
+    {
+        settings.incarnation = incarnation;
+        tasks = std::make_unique<Tasks>(settings, worker, metrics, SharedClock { &clock });
+        run(tasks->tick());
+    }
+
+    void run(Awaitable<> operation)
+    {
+        asio::co_spawn(context, std::move(operation), asio::detached);
+        context.restart();
+        context.poll();
+    }
+
+    OrderReply execute(const Order& order)
+    {
+        OrderReply result;
+        run([](Tasks& agent, Order copy, OrderReply& to) -> Awaitable<> { to = co_await agent.execute(copy); }(
+                                                             *tasks, order, result));
+        return result;
+    }
+
+    void reply(std::uint64_t epoch, std::vector<ZoneId> zonesOut = {}, std::uint64_t ageMs = 0)
+    {
+        HeartbeatReply answer;
+        answer.epoch = Epoch { epoch };
+        answer.freshness = { Revision { 3 }, ageMs, std::move(zonesOut) };
+        tasks->received(answer, clock.now());
+        run(tasks->renewLeases());
+    }
+
+    Order order(OrderKind kind, std::uint64_t attempt = 1) const
+    {
+        Order made;
+        made.epoch = Epoch { 5 };
+        made.incarnation = settings.incarnation;
+        made.kind = kind;
+        made.job = JobId { "j" };
+        made.attempt = Attempt { attempt };
+        made.tasks = { 0, 1 };
+        made.coresPerTask = 4;
+        made.memoryMiBPerTask = 1000;
+        made.acceleratorsPerTask = 4;
+        made.runTimeMs = 3'600'000;
+        made.revision = Revision { 3 };
+        return made;
+    }
+
+    void startTwoTasks()
+    {
+        REQUIRE(execute(order(OrderKind::reserve)).accepted);
+        REQUIRE(execute(order(OrderKind::start)).accepted);
+    }
+
+    using Tasks = WorkerTasks<DirectWorker, SharedClock>;
+
+    asio::io_context context;
+    ManualClock clock;
+    Metrics metrics;
+    WorkerModel model { { 60, 128000, 8 } };
+    DirectWorker worker { model, SharedClock { &clock } };
+    WorkerSettings settings { AgentId { "w1" }, Incarnation { 7 }, ZoneId { "z1" }, RackId { "r1" },
+        { 60, 128000, 8 } };
+    std::unique_ptr<Tasks> tasks;
+};
+
+}
+
+// Guards against an order to a previous incarnation that takes effect on an agent which has forgotten everything.
+TEST_CASE("an agent that restarted refuses orders to its predecessor")
+{
+    Fixture fixture;
+    REQUIRE(fixture.execute(fixture.order(OrderKind::reserve)).accepted);
+    const auto start = fixture.order(OrderKind::start);
+    fixture.restart(Incarnation { 8 });
+    fixture.reply(5);
+    CHECK(fixture.execute(start).reason.find("another incarnation") != std::string::npos);
+    CHECK(fixture.model.list(fixture.clock.now()).empty());
+}
+
+// Guards against a deposed leader whose delayed orders still take effect.
+TEST_CASE("an order of a lower epoch than the newest learned is refused")
+{
+    Fixture fixture;
+    REQUIRE(fixture.execute(fixture.order(OrderKind::reserve)).accepted);
+    fixture.reply(6);
+    CHECK(fixture.execute(fixture.order(OrderKind::start)).reason.find("epoch") != std::string::npos);
+    CHECK(fixture.model.list(fixture.clock.now()).empty());
+}
+
+// Guards against a start in a zone that was taken out of service more than 3 s ago.
+TEST_CASE("a start needs a fresh proof that does not list the own zone")
+{
+    Fixture fixture;
+    REQUIRE(fixture.execute(fixture.order(OrderKind::reserve)).accepted);
+    fixture.clock.advance(2001ms);
+    CHECK(fixture.execute(fixture.order(OrderKind::start)).reason.find("freshness proof") != std::string::npos);
+    fixture.reply(5, {}, 2001);
+    CHECK(fixture.execute(fixture.order(OrderKind::start)).reason.find("freshness proof") != std::string::npos);
+    auto newer = fixture.order(OrderKind::start);
+    newer.revision = Revision { 4 };
+    fixture.reply(5, { ZoneId { "z1" } });
+    CHECK(fixture.execute(newer).reason.find("revision") != std::string::npos);
+    CHECK(fixture.execute(fixture.order(OrderKind::start)).reason.find("out of service") != std::string::npos);
+    CHECK(fixture.model.list(fixture.clock.now()).empty());
+}
+
+// Guards against a start that is refused although an entry would have given a fresh proof on request.
+TEST_CASE("the owner is asked for an extra heartbeat when the proof is too old")
+{
+    Fixture fixture;
+    REQUIRE(fixture.execute(fixture.order(OrderKind::reserve)).accepted);
+    fixture.clock.advance(3s);
+    fixture.tasks->setFreshnessRequest([&]() -> Awaitable<> {
+        fixture.tasks->received({ Epoch { 5 }, { Revision { 3 }, 0, {} }, {} }, fixture.clock.now());
+        co_return;
+    });
+    CHECK(fixture.execute(fixture.order(OrderKind::start)).accepted);
+    CHECK(fixture.model.list(fixture.clock.now()).size() == 2);
+}
+
+// Guards against a gang that starts late because a reservation was kept, or twice because of a repeated order.
+TEST_CASE("a reservation lapses after 5 s and a given-up attempt cannot be reserved again")
+{
+    Fixture fixture;
+    CHECK_FALSE(fixture.execute(fixture.order(OrderKind::start)).accepted);
+    REQUIRE(fixture.execute(fixture.order(OrderKind::reserve)).accepted);
+    auto other = fixture.order(OrderKind::reserve);
+    other.job = JobId { "k" };
+    CHECK(fixture.execute(other).reason.find("capacity") != std::string::npos);
+    fixture.clock.advance(5s);
+    fixture.run(fixture.tasks->tick());
+    fixture.reply(5);
+    CHECK(fixture.execute(fixture.order(OrderKind::start)).reason.find("no reservation") != std::string::npos);
+    CHECK(fixture.execute(other).accepted);
+    CHECK(fixture.execute(fixture.order(OrderKind::stop)).accepted);
+    CHECK(fixture.execute(fixture.order(OrderKind::reserve)).reason.find("given up") != std::string::npos);
+}
+
+// Guards against tasks that run on without any leader while the leader has counted them as lost.
+TEST_CASE("after 30 s without a reply all tasks are checkpointed, stopped and reported")
+{
+    Fixture fixture;
+    fixture.startTwoTasks();
+    for (int i = 0; i < 29; ++i) {
+        fixture.clock.advance(1s);
+        fixture.run(fixture.tasks->tick());
+    }
+    CHECK(fixture.tasks->running() == 2);
+    fixture.clock.advance(1s);
+    fixture.run(fixture.tasks->tick());
+    CHECK(fixture.tasks->running() == 0);
+    const auto reports = fixture.tasks->reports();
+    REQUIRE(reports.size() == 2);
+    CHECK(reports[0].state == "stopped");
+    CHECK(reports[0].checkpointMs == 30'000);
+    CHECK(fixture.execute(fixture.order(OrderKind::stop)).accepted);
+    CHECK(fixture.tasks->reports().empty());
+}
+
+// Guards against running tasks that a new incarnation of the agent neither reports nor keeps alive.
+TEST_CASE("a new incarnation adopts what the worker lists")
+{
+    Fixture fixture;
+    fixture.startTwoTasks();
+    fixture.clock.advance(20s);
+    fixture.restart(Incarnation { 8 });
+    CHECK(fixture.tasks->isComplete());
+    CHECK(fixture.tasks->reports().size() == 2);
+    fixture.reply(5);
+    fixture.clock.advance(20s);
+    fixture.run(fixture.tasks->tick());
+    CHECK(fixture.tasks->running() == 2);
+}
+
+// Guards against one task of an order that runs although another one of it could not start.
+TEST_CASE("when one task does not start, the others of the order are stopped")
+{
+    Fixture fixture;
+    REQUIRE(fixture.execute(fixture.order(OrderKind::reserve)).accepted);
+    fixture.model.start({ { JobId { "foreign" }, Attempt { 1 }, 0 }, { 1, 1, 4 }, 1h, 30s, {} }, fixture.clock.now());
+    CHECK_FALSE(fixture.execute(fixture.order(OrderKind::start)).accepted);
+    const auto left = fixture.model.list(fixture.clock.now());
+    REQUIRE(left.size() == 1);
+    CHECK(left[0].key.job == JobId { "foreign" });
+}
+
+// Guards against tasks of a silent worker that stay reported as running for ever.
+TEST_CASE("tasks of a worker that does not answer are reported as stopped once their leases have expired")
+{
+    Fixture fixture;
+    fixture.startTwoTasks();
+    fixture.worker.unreachable = true;
+    for (int i = 0; i < 36; ++i) {
+        fixture.clock.advance(1s);
+        fixture.reply(5);
+        fixture.run(fixture.tasks->tick());
+        CHECK(fixture.tasks->isComplete() == (i < 4 || i == 35));
+    }
+    CHECK(fixture.tasks->reports().at(0).state == "stopped");
+    CHECK((fixture.model.list(fixture.clock.now()).at(0).state == TaskState::stopped));
+    CHECK(fixture.execute(fixture.order(OrderKind::stop)).accepted);
+}
