--- a/src/lycheespool/platform/fwd.h
+++ b/src/lycheespool/platform/fwd.h
@@ -5,5 +5,8 @@
 class ExecutorService;
 class ObjectStore;
 class TableService;
+class WorkerClient;
+class WorkerModel;
+class WorkerService;
 
 }
