Run non-idempotent requests at most once with claims in the table

Cause: the request path dispatched every request without a claim, so a retry after a lost reply could run twice. Ruled out: answering a retry from the agent's memory alone, because a restarted agent has none; dropping old tombstones on the agent, because a frame of a paused entry can arrive at any later time. A full set of tombstones answers "not seen" instead. Change: ClaimStore with conditional writes whose lost answers are read back by token, ClaimedRunner with takeover, inquiry and replay, a bounded queue for rows that the table does not take now, ExecutionLedger for agents, messages Inquire and InquireReply. Dispatcher, routing policy and timing are template parameters, so the tests run in virtual time without sockets.

--- a/src/lycheespool/request/executor_node.h
+++ b/src/lycheespool/request/executor_node.h
@@ -25,6 +25,29 @@
     std::atomic<bool> draining { false };
     /*! @brief Time of the last message, as ticks of the monotonic clock. */
     std::atomic<TimePoint::rep> lastHeard { 0 };
+    /*! @brief Slots that other entries used at the last report. */
+    std::atomic<std::uint32_t> usedByOthers { 0 };
+
+    /**
+     * @brief Records the free slots that the agent reported; the rest that this entry does not use is others' work.
+     * @param free Free slots.
+     */
+    void reportSlots(std::uint32_t free)
+    {
+        const auto known = free + inFlight.load(std::memory_order_relaxed);
+        slotsFree.store(free, std::memory_order_relaxed);
+        usedByOthers.store(known < slots ? slots - known : 0, std::memory_order_relaxed);
+    }
+
+    /**
+     * @brief Estimates the free slots between two reports.
+     * @return Number of slots.
+     */
+    [[nodiscard]] std::uint32_t freeSlots() const
+    {
+        const auto used = inFlight.load(std::memory_order_relaxed) + usedByOthers.load(std::memory_order_relaxed);
+        return used < slots ? slots - used : 0;
+    }
 };
 
 /*! @brief Shared ownership of a node by the snapshots that contain it. */
--- a/src/lycheespool/request/fwd.h
+++ b/src/lycheespool/request/fwd.h
@@ -2,12 +2,19 @@
 
 namespace lycheespool {
 
+class ExecutionLedger;
+class KeyFilter;
 class Membership;
+class NodeLease;
+class RetryBudget;
+class RpcDispatcher;
+class SteadyTiming;
+struct CallResult;
+struct Claim;
+struct ClaimRow;
 struct ClientAnswer;
 struct ClientRequest;
 struct ExecutorNode;
-
-template <typename Table>
-class RequestPath;
+struct StoredAnswer;
 
 }
--- a/src/lycheespool/request/membership.cpp
+++ b/src/lycheespool/request/membership.cpp
@@ -26,7 +26,7 @@
     const auto it = std::ranges::find(*nodes, agent, &ExecutorNode::agent);
     if (it == nodes->end() || (*it)->incarnation != heartbeat.incarnation)
         return;
-    (*it)->slotsFree = heartbeat.slotsFree;
+    (*it)->reportSlots(heartbeat.slotsFree);
     (*it)->lastHeard = now.time_since_epoch().count();
     if (heartbeat.draining)
         (*it)->draining = true;
--- a/src/lycheespool/request/request_path.h
+++ b/src/lycheespool/request/request_path.h
@@ -1,27 +1,34 @@
 #pragma once
 
-#include "lycheespool/core/clock.h"
-#include "lycheespool/core/error.h"
 #include "lycheespool/core/metrics.h"
+#include "lycheespool/request/claimed_runner.h"
 #include "lycheespool/request/client_answer.h"
 #include "lycheespool/request/client_request.h"
+#include "lycheespool/request/executor_calls.h"
 #include "lycheespool/request/membership.h"
+#include "lycheespool/request/retry_budget.h"
+#include "lycheespool/request/round_robin.h"
+#include "lycheespool/request/rpc_dispatcher.h"
+#include "lycheespool/request/timing.h"
 #include "lycheespool/store/table.h"
 
-#include <algorithm>
-#include <atomic>
-#include <random>
+#include <utility>
 
 namespace lycheespool {
 
 /**
  * @brief Serves clients' requests: chooses an executor, dispatches, and gives one final answer.
  *
- * execute() may be called from any thread.
+ * execute() may be called from any thread that runs an Asio context alone. The object must outlive the contexts on
+ * which execute() was called, or at least their run: some work goes on after the client has its answer.
  *
- * @tparam Table Model of Table, for the claims of non-idempotent requests.
+ * @tparam TableType Model of Table, for the claims of non-idempotent requests.
+ * @tparam DispatcherType Model of Dispatcher.
+ * @tparam Policy Model of RoutingPolicy.
+ * @tparam TimingType Model of Timing.
  */
-template <Table TableType>
+template <Table TableType, Dispatcher DispatcherType = RpcDispatcher, RoutingPolicy Policy = RoundRobin,
+    Timing TimingType = SteadyTiming>
 class RequestPath {
 public:
     /**
@@ -31,13 +38,14 @@
      * @param table Table service.
      * @param membership Known executors.
      * @param metrics Registry for counters.
+     * @param dispatcher Carries requests to agents.
+     * @param timing Clock and timers.
      */
-    RequestPath(EntryId entry, ZoneId zone, TableType& table, Membership& membership, Metrics& metrics)
-        : m_entry { std::move(entry) }
-        , m_zone { std::move(zone) }
-        , m_table { table }
-        , m_membership { membership }
-        , m_dispatched { metrics.counter("requests_dispatched_total") }
+    RequestPath(EntryId entry, ZoneId zone, TableType& table, Membership& membership, Metrics& metrics,
+        DispatcherType dispatcher = {}, TimingType timing = {})
+        : m_timing { std::move(timing) }
+        , m_calls { std::move(zone), membership, metrics, std::move(dispatcher), m_timing }
+        , m_claimed { std::move(entry), table, m_calls, m_budget, metrics, m_timing }
     {
     }
 
@@ -48,56 +56,46 @@
      */
     [[nodiscard]] Awaitable<ClientAnswer> execute(ClientRequest request)
     {
-        const auto node = choose();
-        if (!node)
-            co_return ClientAnswer { Outcome::notRun, 503, {}, "no executor is available", std::chrono::seconds { 1 } };
-        co_return co_await dispatch(std::move(request), node);
+        m_budget.deposit();
+        const auto deadline = m_timing.now() + request.timeout;
+        if (!request.idempotent)
+            co_return co_await m_claimed.run(std::move(request), deadline);
+        co_return co_await runOnce(std::move(request), deadline);
     }
 
+    /**
+     * @brief Replaces the set of zones that get no new work; may be called from any thread.
+     * @param zones Zones out of service.
+     */
+    void setZonesOut(ZoneSet zones) { m_calls.setZonesOut(std::move(zones)); }
+
+    /**
+     * @brief Counts claim rows that wait until the table takes them.
+     * @return Number of rows.
+     */
+    [[nodiscard]] std::size_t pendingCompletions() const { return m_claimed.pendingCompletions(); }
+
 private:
-    [[nodiscard]] ExecutorNodePtr choose()
-    {
-        thread_local std::minstd_rand random { std::random_device {}() };
-        const auto nodes = m_membership.nodes().load();
-        if (nodes->empty())
-            return nullptr;
-        std::uniform_int_distribution<std::size_t> index { 0, nodes->size() - 1 };
-        const auto& first = (*nodes)[index(random)];
-        const auto& second = (*nodes)[index(random)];
-        return first->inFlight.load() <= second->inFlight.load() ? first : second;
-    }
+    using Calls = ExecutorCalls<DispatcherType, Policy, TimingType>;
 
-    [[nodiscard]] Awaitable<ClientAnswer> dispatch(ClientRequest request, ExecutorNodePtr node)
+    [[nodiscard]] Awaitable<ClientAnswer> runOnce(ClientRequest request, TimePoint deadline)
     {
-        Execute message;
-        message.request = m_nextRequest.fetch_add(1);
-        message.incarnation = node->incarnation;
-        message.idempotent = request.idempotent;
-        message.deadlineMs = static_cast<std::uint64_t>(
-            std::chrono::duration_cast<std::chrono::milliseconds>(request.timeout).count());
-        message.key = request.key.value();
-        message.body = std::move(request.body);
-        m_dispatched.add();
-        node->inFlight.fetch_add(1);
-        ClientAnswer answer;
-        try {
-            auto reply = co_await node->connection->template call<ExecuteReply>(std::move(message), request.timeout);
-            answer.outcome = reply.outcome;
-            answer.status = reply.status;
-            answer.body = std::move(reply.body);
-        } catch (const Error& error) {
-            answer.reason = error.what();
-        }
-        node->inFlight.fetch_sub(1);
-        co_return answer;
+        const auto lease = m_calls.choose({});
+        if (!lease.node())
+            co_return notRunAnswer(503, "no executor is available", std::chrono::seconds { 1 });
+        const auto left = deadline - m_timing.now();
+        auto result = co_await m_calls.call(lease.node(), request, left);
+        if (result.outcome == Outcome::done)
+            co_return doneAnswer(result.status, std::move(result.body));
+        if (result.outcome == Outcome::notRun)
+            co_return notRunAnswer(503, std::move(result.reason), std::chrono::seconds { 1 });
+        co_return unknownAnswer(std::move(result.reason));
     }
 
-    EntryId m_entry;
-    ZoneId m_zone;
-    TableType& m_table;
-    Membership& m_membership;
-    Counter& m_dispatched;
-    std::atomic<std::uint64_t> m_nextRequest { 1 };
+    TimingType m_timing;
+    RetryBudget m_budget;
+    Calls m_calls;
+    ClaimedRunner<TableType, Calls, TimingType> m_claimed;
 };
 
 }
--- /dev/null
+++ b/src/lycheespool/request/round_robin.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "lycheespool/request/routing.h"
+
+#include <atomic>
+#include <cstddef>
+
+namespace lycheespool {
+
+/*! @brief Baseline policy for measurements: executors in turn, no retries, no regard to health. */
+class RoundRobin {
+public:
+    static constexpr bool retries = false;
+
+    /**
+     * @brief Chooses the next eligible node.
+     * @param nodes Known nodes.
+     * @param context Request and time.
+     * @return The node, or null when none is eligible.
+     */
+    [[nodiscard]] ExecutorNodePtr choose(const Membership::Nodes& nodes, const RoutingContext& context)
+    {
+        const auto start = m_next.fetch_add(1, std::memory_order_relaxed);
+        for (std::size_t i = 0; i < nodes.size(); ++i) {
+            const auto& node = nodes[(start + i) % nodes.size()];
+            if (isEligible(*node, context))
+                return node;
+        }
+        return nullptr;
+    }
+
+    /*! @brief Ignores what became of a call. */
+    void finished(const Membership::Nodes&, ExecutorNode&, const CallResult&, Duration, TimePoint) { }
+
+private:
+    std::atomic<std::size_t> m_next { 0 };
+};
+
+}
--- a/src/lycheespool/wire/adaptors.h
+++ b/src/lycheespool/wire/adaptors.h
@@ -16,7 +16,8 @@
         const msgpack::object& operator()(const msgpack::object& object, lycheespool::Strong<Tag, Value>& strong) const
         {
             strong = lycheespool::Strong<Tag, Value> { object.as<Value>() };
-            return object;
+            // The signature is that of msgpack's own adaptors.
+            return object; // NOLINT(bugprone-return-const-ref-from-parameter)
         }
     };
 
--- a/src/lycheespool/wire/message_type.h
+++ b/src/lycheespool/wire/message_type.h
@@ -14,6 +14,8 @@
     orderReply = 9,
     goodbye = 10,
     goodbyeReply = 11,
+    inquire = 12,
+    inquireReply = 13,
 };
 
 /**
--- a/src/lycheespool/wire/messages.h
+++ b/src/lycheespool/wire/messages.h
@@ -167,8 +167,41 @@
     MSGPACK_DEFINE(known)
 };
 
+/*! @brief What an agent knows about a non-idempotent request of its present incarnation. */
+enum class ExecutionState : std::uint8_t {
+    /*! @brief The executor has the request and has not answered yet. */
+    running,
+    /*! @brief The executor answered; the answer is in the reply. */
+    done,
+    /*! @brief The agent cannot tell: another incarnation, an answer it dropped, or no room for a tombstone. */
+    notSeen,
+    /*! @brief The request did not run, and this incarnation never runs it any more. */
+    tombstoned,
+};
+
+/*! @brief Asks an agent what became of a request; a request that it never saw is tombstoned. */
+struct Inquire {
+    static constexpr auto type = MessageType::inquire;
+
+    std::string key;
+    Incarnation incarnation;
+    MSGPACK_DEFINE(key, incarnation)
+};
+
+/*! @brief Answer to Inquire. */
+struct InquireReply {
+    static constexpr auto type = MessageType::inquireReply;
+
+    Incarnation incarnation;
+    ExecutionState state { ExecutionState::notSeen };
+    std::uint32_t status { 0 };
+    std::string body;
+    MSGPACK_DEFINE(incarnation, state, status, body)
+};
+
 }
 
 MSGPACK_ADD_ENUM(lycheespool::EndpointKind);
 MSGPACK_ADD_ENUM(lycheespool::Outcome);
 MSGPACK_ADD_ENUM(lycheespool::OrderKind);
+MSGPACK_ADD_ENUM(lycheespool::ExecutionState);
--- /dev/null
+++ b/test/lycheespool/request/claim_store.cpp
@@ -0,0 +1,112 @@
+#include "lycheespool/request/claim_store.h"
+#include "lycheespool/store/emulated_table.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+using namespace lycheespool;
+
+namespace {
+
+struct Fixture {
+    MemoryTable rows;
+    TableFaults faults;
+    EmulatedTable table { rows, faults };
+    ClaimStore<EmulatedTable> first { EntryId { "first" }, table };
+    ClaimStore<EmulatedTable> second { EntryId { "second" }, table };
+
+    template <typename Result>
+    Result await(Awaitable<Result> operation)
+    {
+        asio::io_context context;
+        auto future = asio::co_spawn(context, std::move(operation), asio::use_future);
+        context.run();
+        return future.get();
+    }
+
+    Claim open(ClaimStore<EmulatedTable>& store, const std::string& digest = "d")
+    {
+        return await(store.open(WorkspaceId { "w" }, RequestKey { "k" }, digest));
+    }
+
+    ClaimWrite dispatch(ClaimStore<EmulatedTable>& store, const Claim& claim)
+    {
+        return await(store.dispatch(claim, AgentId { "a" }, Incarnation { 7 }));
+    }
+};
+
+}
+
+// Guards against two entries that both send the request after both saw it claimed.
+TEST_CASE("only one of two dispatches of the same claim wins")
+{
+    Fixture it;
+    const auto mine = it.open(it.first);
+    const auto theirs = it.open(it.second, "other");
+    CHECK(theirs.row.digest == "d");
+    const auto taken = it.dispatch(it.second, theirs);
+    CHECK(taken.won);
+    const auto late = it.dispatch(it.first, mine);
+    CHECK_FALSE(late.won);
+    CHECK(late.claim.row.state == ClaimState::dispatched);
+    CHECK(late.claim.row.entry == EntryId { "second" });
+}
+
+// Guards against a write that is taken for lost, or repeated, because the table's answer did not arrive.
+TEST_CASE("a write whose answer was lost is recognised by its token")
+{
+    Fixture it;
+    it.faults.loseAnswers = 1;
+    const auto claim = it.open(it.first);
+    const auto version = it.rows.get(claim.key).version;
+    CHECK(claim.version == version);
+    it.faults.loseAnswers = 1;
+    const auto write = it.dispatch(it.first, claim);
+    CHECK(write.won);
+    CHECK(it.rows.get(claim.key).version == version + 1);
+}
+
+// Guards against a request that is sent although its dispatch could not be recorded.
+TEST_CASE("a write that cannot be read back is an error")
+{
+    Fixture it;
+    const auto claim = it.open(it.first);
+    it.faults.down = true;
+    CHECK_THROWS_AS((void)it.dispatch(it.first, claim), Error);
+}
+
+// Guards against a row that is inserted again after it was removed, which would forget that the request ran.
+TEST_CASE("a claim whose row is gone is not dispatched")
+{
+    Fixture it;
+    const auto claim = it.open(it.first);
+    CHECK(it.rows.commit({ {}, { { claim.key, std::nullopt } } }).committed);
+    CHECK_THROWS_AS((void)it.dispatch(it.first, claim), Error);
+    CHECK_FALSE(it.rows.get(claim.key).exists());
+}
+
+// Guards against a binary answer that is damaged by the JSON form of the row.
+TEST_CASE("a row is decoded as it was encoded")
+{
+    CHECK(rc::check([](const std::string& body, std::uint64_t incarnation, unsigned status) {
+        ClaimRow row;
+        row.state = ClaimState::done;
+        row.agent = AgentId { "a" };
+        row.incarnation = Incarnation { incarnation };
+        row.answer = { status, body, true };
+        const auto decoded = decodeClaim(encodeClaim(row));
+        RC_ASSERT(decoded.state == row.state);
+        RC_ASSERT(decoded.incarnation == row.incarnation);
+        RC_ASSERT(decoded.answer.status == status);
+        RC_ASSERT(decoded.answer.body == body);
+    }));
+    CHECK_THROWS_AS((void)decodeClaim("{}"), Error);
+}
+
+// Guards against two requests of different workspaces that share a claim.
+TEST_CASE("rows of different requests have different keys")
+{
+    CHECK(claimRowKey(WorkspaceId { "a/b" }, RequestKey { "c" })
+        != claimRowKey(WorkspaceId { "a" }, RequestKey { "b/c" }));
+    CHECK(claimRowKey(WorkspaceId { "a" }, RequestKey { "c" }) == "claim/a/c");
+}
--- /dev/null
+++ b/test/lycheespool/request/cluster.h
@@ -0,0 +1,126 @@
+#pragma once
+
+#include "fake_agents.h"
+#include "lycheespool/request/request_path.h"
+#include "lycheespool/store/emulated_table.h"
+
+#include <fmt/format.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace lycheespool {
+
+/*! @brief Entries that share one table and the same agents, in virtual time on one thread. */
+template <typename Policy>
+class Cluster {
+public:
+    using Path = RequestPath<EmulatedTable, FakeAgents, Policy, ManualTiming>;
+
+    struct Entry {
+        Entry(std::size_t index, MemoryTable& rows, const FakeAgents& agents, const ManualTiming& timing)
+            : table { rows, faults }
+            , path { EntryId { fmt::format("entry-{}", index) }, ZoneId { "zone-a" }, table, membership, metrics,
+                agents, timing }
+        {
+        }
+        Metrics metrics;
+        Membership membership;
+        TableFaults faults;
+        EmulatedTable table;
+        Path path;
+    };
+
+    Cluster(std::size_t entryCount, std::size_t agentCount)
+    {
+        for (std::size_t i = 0; i < entryCount; ++i)
+            entries.push_back(std::make_unique<Entry>(i, rows, agents, timing));
+        for (std::size_t i = 0; i < agentCount; ++i)
+            restart(i);
+    }
+
+    /*! @brief An answer and the virtual time at which the client got it. */
+    struct Answered {
+        ClientAnswer answer;
+        TimePoint at;
+    };
+    using Answers = std::vector<Answered>;
+
+    static AgentId agentName(std::size_t index) { return AgentId { fmt::format("agent-{}", index) }; }
+
+    /*! @brief Starts an agent with an empty ledger and announces its new incarnation to every entry. */
+    void restart(std::size_t index)
+    {
+        Hello hello;
+        hello.agent = agentName(index);
+        hello.incarnation = Incarnation { ++m_lastIncarnation };
+        hello.zone = ZoneId { "zone-a" };
+        hello.slots = 8;
+        agents.start(hello.agent, hello.incarnation);
+        for (const auto& it : entries)
+            it->membership.join(hello, nullptr, timing.now());
+    }
+
+    /*! @brief Starts a request; its answers are appended to the list. */
+    void submit(std::size_t entry, ClientRequest request, Answers& answers)
+    {
+        asio::co_spawn(context, collect(entry, std::move(request), answers), asio::detached);
+    }
+
+    /*! @brief Runs one request until nothing is left to do. */
+    ClientAnswer ask(std::size_t entry, ClientRequest request)
+    {
+        Answers answers;
+        submit(entry, std::move(request), answers);
+        run();
+        return answers.at(0).answer;
+    }
+
+    /*! @brief Runs what can run now, then advances the clock to the next timer; false when nothing waits. */
+    bool step()
+    {
+        context.restart();
+        context.poll();
+        const bool moved = timing.advanceToNext();
+        for (const auto& entry : entries) {
+            for (const auto& node : *entry->membership.nodes().load())
+                node->lastHeard = timing.now().time_since_epoch().count();
+        }
+        return moved;
+    }
+
+    void run()
+    {
+        // Rows that wait for a table that stays down would keep the clock moving for ever.
+        const auto end = timing.now() + std::chrono::minutes { 1 };
+        while (timing.now() < end && step()) { }
+    }
+
+    ManualTiming timing;
+    FakeAgents agents { timing };
+    MemoryTable rows;
+    std::vector<std::unique_ptr<Entry>> entries;
+    asio::io_context context;
+
+private:
+    Awaitable<> collect(std::size_t entry, ClientRequest request, Answers& answers)
+    {
+        auto answer = co_await entries[entry]->path.execute(std::move(request));
+        answers.push_back({ std::move(answer), timing.now() });
+    }
+
+    std::uint64_t m_lastIncarnation { 0 };
+};
+
+inline ClientRequest onceRequest(const std::string& key, const std::string& body = "body")
+{
+    ClientRequest request;
+    request.workspace = WorkspaceId { "w" };
+    request.key = RequestKey { key };
+    request.idempotent = false;
+    request.body = body;
+    return request;
+}
+
+}
