Route requests by power of two choices with outlier ejection

Cause: executors were chosen in turn, without regard to load, latency, failures, zones or silence. Ruled out: a lower cost limit alone for failing executors, because one that fails at once always has the fewest requests; slow start of every new executor, because a new entry would use a tenth of the system for ten seconds. Change: policy template parameter, PowerOfTwo as default and RoundRobin as baseline, NodeHealth per executor, OutlierEjection bounded to a third, zones out of service published by read-copy-update, one reader per thread.

--- a/src/lycheespool/request/executor_calls.h
+++ b/src/lycheespool/request/executor_calls.h
@@ -80,7 +80,7 @@
 
     /**
      * @brief Counts the slots that this entry may use.
-     * @return Slots of all nodes in service, without those that other entries use.
+     * @return Slots of all nodes in service that the policy wants to use, without those that other entries use.
      */
     [[nodiscard]] std::uint32_t capacity()
     {
@@ -89,8 +89,8 @@
             return m_nodes.read([&](const Membership::Nodes& nodes) {
                 std::uint32_t sum = 0;
                 for (const auto& it : nodes) {
-                    if (isInService(*it, zonesOut, now))
-                        sum += it->slots - std::min(it->slots, it->usedByOthers.load(std::memory_order_relaxed));
+                    const auto slots = isInService(*it, zonesOut, now) ? m_policy.usableSlots(*it, now) : 0;
+                    sum += slots - std::min(slots, it->usedByOthers.load(std::memory_order_relaxed));
                 }
                 return sum;
             });
--- a/src/lycheespool/request/executor_node.h
+++ b/src/lycheespool/request/executor_node.h
@@ -3,6 +3,7 @@
 #include "lycheespool/core/clock.h"
 #include "lycheespool/core/ids.h"
 #include "lycheespool/net/rpc_connection.h"
+#include "lycheespool/request/node_health.h"
 
 #include <atomic>
 #include <cstdint>
@@ -17,6 +18,8 @@
     ZoneId zone;
     std::uint32_t slots { 0 };
     std::shared_ptr<RpcConnection> connection;
+    /*! @brief Time of the announcement. */
+    TimePoint joined;
     /*! @brief Requests of this entry that wait for this executor. */
     std::atomic<std::uint32_t> inFlight { 0 };
     /*! @brief Free slots in the last report of the agent. */
@@ -27,6 +30,8 @@
     std::atomic<TimePoint::rep> lastHeard { 0 };
     /*! @brief Slots that other entries used at the last report. */
     std::atomic<std::uint32_t> usedByOthers { 0 };
+    /*! @brief Latency and failures as this entry measured them. */
+    NodeHealth health;
 
     /**
      * @brief Records the free slots that the agent reported; the rest that this entry does not use is others' work.
@@ -45,9 +50,18 @@
      */
     [[nodiscard]] std::uint32_t freeSlots() const
     {
-        const auto used = inFlight.load(std::memory_order_relaxed) + usedByOthers.load(std::memory_order_relaxed);
+        const auto used = usedSlots();
         return used < slots ? slots - used : 0;
     }
+
+    /**
+     * @brief Estimates the slots in use by all entries.
+     * @return Number of slots; more than there are when requests wait at the agent.
+     */
+    [[nodiscard]] std::uint32_t usedSlots() const
+    {
+        return inFlight.load(std::memory_order_relaxed) + usedByOthers.load(std::memory_order_relaxed);
+    }
 };
 
 /*! @brief Shared ownership of a node by the snapshots that contain it. */
--- a/src/lycheespool/request/fwd.h
+++ b/src/lycheespool/request/fwd.h
@@ -5,8 +5,11 @@
 class ExecutionLedger;
 class KeyFilter;
 class Membership;
+class NodeHealth;
 class NodeLease;
+class OutlierEjection;
 class RetryBudget;
+class RoundRobin;
 class RpcDispatcher;
 class SteadyTiming;
 struct CallResult;
--- a/src/lycheespool/request/request_path.h
+++ b/src/lycheespool/request/request_path.h
@@ -6,8 +6,8 @@
 #include "lycheespool/request/client_request.h"
 #include "lycheespool/request/executor_calls.h"
 #include "lycheespool/request/membership.h"
+#include "lycheespool/request/power_of_two.h"
 #include "lycheespool/request/retry_budget.h"
-#include "lycheespool/request/round_robin.h"
 #include "lycheespool/request/rpc_dispatcher.h"
 #include "lycheespool/request/timing.h"
 #include "lycheespool/store/table.h"
@@ -27,7 +27,7 @@
  * @tparam Policy Model of RoutingPolicy.
  * @tparam TimingType Model of Timing.
  */
-template <Table TableType, Dispatcher DispatcherType = RpcDispatcher, RoutingPolicy Policy = RoundRobin,
+template <Table TableType, Dispatcher DispatcherType = RpcDispatcher, RoutingPolicy Policy = PowerOfTwo<>,
     Timing TimingType = SteadyTiming>
 class RequestPath {
 public:
--- a/src/lycheespool/request/round_robin.h
+++ b/src/lycheespool/request/round_robin.h
@@ -4,6 +4,7 @@
 
 #include <atomic>
 #include <cstddef>
+#include <cstdint>
 
 namespace lycheespool {
 
@@ -29,6 +30,13 @@
         return nullptr;
     }
 
+    /**
+     * @brief Uses every slot.
+     * @param node A node.
+     * @return All its slots.
+     */
+    [[nodiscard]] std::uint32_t usableSlots(const ExecutorNode& node, TimePoint) const { return node.slots; }
+
     /*! @brief Ignores what became of a call. */
     void finished(const Membership::Nodes&, ExecutorNode&, const CallResult&, Duration, TimePoint) { }
 
--- a/src/lycheespool/request/routing.h
+++ b/src/lycheespool/request/routing.h
@@ -46,6 +46,7 @@
  * @brief Chooses executors; called from all threads of the request path without a lock.
  *
  * - `choose(nodes, context)` gives an eligible node, or null.
+ * - `usableSlots(node, now)` gives the number of slots of a node in service that it wants to use now.
  * - `finished(nodes, node, result, elapsed, now)` takes what became of a call.
  * - `retries` tells whether requests are sent to another executor after a failure.
  */
@@ -56,6 +57,9 @@
     {
         policy.choose(nodes, context)
         } -> std::same_as<ExecutorNodePtr>;
+    {
+        policy.usableSlots(node, now)
+        } -> std::same_as<std::uint32_t>;
     policy.finished(nodes, node, result, elapsed, now);
     {
         Type::retries
--- a/test/lycheespool/request/request_path.cpp
+++ b/test/lycheespool/request/request_path.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-using TestCluster = Cluster<RoundRobin>;
+using TestCluster = Cluster<PowerOfTwo<std::minstd_rand>>;
 
 ClaimRow rowOf(const TestCluster& cluster, const std::string& key)
 {
