--- a/src/lycheespool/request/membership.cpp
+++ b/src/lycheespool/request/membership.cpp
@@ -14,8 +14,13 @@
     node->slotsFree = hello.slots;
     node->connection = std::move(connection);
     node->lastHeard = now.time_since_epoch().count();
+    node->joined = now;
     m_nodes.update([&](Nodes& nodes) {
         std::erase_if(nodes, [&](const auto& it) { return it->agent == hello.agent; });
+        // When all executors are new, as after the start of the entry, none can take over from a slow start.
+        const auto isEstablished = [&](const auto& it) { return now - it->joined >= NodeHealth::slowStartTime; };
+        if (std::ranges::any_of(nodes, isEstablished))
+            node->health.startSlowly(now);
         nodes.push_back(node);
     });
 }
@@ -26,7 +31,7 @@
     const auto it = std::ranges::find(*nodes, agent, &ExecutorNode::agent);
     if (it == nodes->end() || (*it)->incarnation != heartbeat.incarnation)
         return;
-    (*it)->slotsFree = heartbeat.slotsFree;
+    (*it)->reportSlots(heartbeat.slotsFree);
     (*it)->lastHeard = now.time_since_epoch().count();
     if (heartbeat.draining)
         (*it)->draining = true;
