Add schema and parser of the configuration document

Cause: operators need a document whose sections are edited separately and whose mistakes are refused with the place and the remedy. Ruled out: one parsed file per edit, because a section must keep its own text, comments and revision; deriving the section borders from source regions of the TOML library, because implicit tables have none of their own. Change: typed settings for zones, workspaces and limits, a parser per section with dispatch on the schema version, splitting and joining of a whole file, and an example file. Conclusion: any text is either parsed or refused as an invalid argument.

--- /dev/null
+++ b/src/lycheespool/document/document.cpp
@@ -0,0 +1,15 @@
+#include "lycheespool/document/document.h"
+
+namespace lycheespool {
+
+std::vector<ZoneId> Document::zonesOut() const
+{
+    std::vector<ZoneId> out;
+    for (const auto& it : zones.zones) {
+        if (!it.inService)
+            out.push_back(it.id);
+    }
+    return out;
+}
+
+}
--- /dev/null
+++ b/src/lycheespool/document/guaranteed_cell.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "lycheespool/core/ids.h"
+#include "lycheespool/document/cell_adjacency.h"
+
+#include <cstdint>
+#include <optional>
+
+namespace lycheespool {
+
+/*! @brief One cell of a workspace's guaranteed shape: equal tasks that are adjacent. */
+struct GuaranteedCell {
+    CellAdjacency adjacency { CellAdjacency::zone };
+    std::uint32_t tasks { 1 };
+    /*! @brief Processor cores of each task. */
+    std::uint32_t cores { 0 };
+    /*! @brief Memory of each task, in MiB. */
+    std::uint32_t memoryMiB { 0 };
+    /*! @brief Accelerators of each task. */
+    std::uint32_t accelerators { 0 };
+    /*! @brief Zone that must hold the cell; any zone when absent. */
+    std::optional<ZoneId> zone;
+
+    friend bool operator==(const GuaranteedCell&, const GuaranteedCell&) = default;
+};
+
+}
--- /dev/null
+++ b/src/lycheespool/document/section_id.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "lycheespool/core/ids.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace lycheespool {
+
+/*! @brief Names a section: `zones`, `limits` or `workspace.<name>`. */
+using SectionId = Strong<struct SectionTag, std::string>;
+
+/*! @brief What a section describes. */
+enum class SectionKind : std::uint8_t { zones, limits, workspace };
+
+/*! @brief Longest name of a zone, workspace or operator, in characters. */
+inline constexpr std::size_t maxNameLength = 63;
+
+/**
+ * @brief Checks the name of a zone, workspace or operator.
+ * @param name The name.
+ * @return True for 1 to 63 lower-case letters, digits, hyphens or underscores.
+ */
+[[nodiscard]] bool isValidName(std::string_view name);
+
+/**
+ * @brief Finds out what a section describes.
+ * @param section Name of the section.
+ * @return Its kind.
+ * @throws Error of kind invalidArgument when there is no such section.
+ */
+[[nodiscard]] SectionKind kindOf(const SectionId& section);
+
+/**
+ * @brief Gives the workspace that a section describes.
+ * @param section Name of a workspace section.
+ * @return Its workspace.
+ * @throws Error of kind invalidArgument when it is no workspace section.
+ */
+[[nodiscard]] WorkspaceId workspaceOf(const SectionId& section);
+
+/**
+ * @brief Gives the section that describes a workspace.
+ * @param workspace The workspace.
+ * @return Name of its section.
+ */
+[[nodiscard]] SectionId sectionOf(const WorkspaceId& workspace);
+
+/*! @brief Section with the availability zones. */
+[[nodiscard]] const SectionId& zonesSection();
+
+/*! @brief Section with the system-wide limits and the administrators. */
+[[nodiscard]] const SectionId& limitsSection();
+
+}
--- /dev/null
+++ b/src/lycheespool/document/section_parser.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "lycheespool/document/document.h"
+#include "lycheespool/document/section_text.h"
+
+#include <string_view>
+#include <vector>
+
+namespace lycheespool {
+
+/*! @brief Largest text of a section, in bytes; keeps a row of the table and a three-way difference small. */
+inline constexpr std::size_t maxSectionBytes = 64 * 1024;
+/*! @brief Most lines of a section; the difference of two texts takes time in proportion to the product of their lines.
+ */
+inline constexpr std::size_t maxSectionLines = 2000;
+
+/**
+ * @brief Parses one section and puts its contents into a document.
+ * @param section Text of the section; an empty text leaves the section out.
+ * @param document Receives the contents.
+ * @throws Error of kind invalidArgument that names section, line, value and remedy.
+ */
+void parseSection(const SectionText& section, Document& document);
+
+/**
+ * @brief Parses sections into a document.
+ * @param sections Texts of the sections, in any order, each at most once.
+ * @return The document, with revision and digest 0.
+ * @throws Error of kind invalidArgument that names section, line, value and remedy.
+ */
+[[nodiscard]] Document parseSections(const std::vector<SectionText>& sections);
+
+/**
+ * @brief Splits one file with all sections.
+ * @param text `schema = <n>` and then the sections, each in one piece; comments belong to the section that follows.
+ * @return The sections in the order of the file.
+ * @throws Error of kind invalidArgument that names the line and the remedy.
+ */
+[[nodiscard]] std::vector<SectionText> splitDocument(std::string_view text);
+
+/**
+ * @brief Joins sections into one file that splitDocument reads.
+ * @param sections Texts of the sections, all of one schema.
+ * @return Text with `schema = <n>` first.
+ */
+[[nodiscard]] std::string joinDocument(const std::vector<SectionText>& sections);
+
+}
--- /dev/null
+++ b/src/lycheespool/document/workspace_settings.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "lycheespool/core/ids.h"
+#include "lycheespool/document/guaranteed_cell.h"
+#include "lycheespool/document/queue_limits.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace lycheespool {
+
+/*! @brief Contents of a workspace's section. */
+struct WorkspaceSettings {
+    WorkspaceId id;
+    /*! @brief Who may edit the section, beside the administrators. */
+    std::vector<std::string> operators;
+    /*! @brief Order between workspaces when both borrow; higher goes first. */
+    std::uint32_t priority { 100 };
+    QueueLimits queue;
+    std::vector<GuaranteedCell> guarantees;
+
+    friend bool operator==(const WorkspaceSettings&, const WorkspaceSettings&) = default;
+};
+
+}
--- /dev/null
+++ b/test/lycheespool/document/section_parser.cpp
@@ -0,0 +1,121 @@
+#include "lycheespool/document/section_parser.h"
+#include "lycheespool/core/error.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <fstream>
+#include <sstream>
+
+using namespace lycheespool;
+
+namespace {
+
+std::string refusal(const std::string& section, const std::string& text, SchemaVersion schema = currentSchema)
+{
+    Document document;
+    try {
+        parseSection({ SectionId { section }, text, schema }, document);
+    } catch (const Error& error) {
+        const bool isRefusal = error.kind() == ErrorKind::invalidArgument;
+        CHECK(isRefusal);
+        CHECK_FALSE(error.remedy().empty());
+        return error.what();
+    }
+    return "accepted";
+}
+
+bool has(const std::string& text, const std::string& part) { return text.find(part) != std::string::npos; }
+
+std::string readExample()
+{
+    std::ifstream file { std::string { LYCHEESPOOL_SOURCE_DIR } + "/examples/document.toml" };
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+}
+
+// Guards against an example that new users copy and that the program then refuses, and against a lossy split.
+TEST_CASE("the example document parses and survives splitting and joining")
+{
+    const auto sections = splitDocument(readExample());
+    const auto document = parseSections(sections);
+    CHECK(document.zones.zones.size() == 3);
+    CHECK(document.zonesOut().empty());
+    REQUIRE(document.workspaces.size() == 4);
+    const auto& training = document.workspaces.at(WorkspaceId { "training" });
+    CHECK(training.priority == 500);
+    CHECK(training.queue.jobs == 2000);
+    REQUIRE(training.guarantees.size() == 2);
+    CHECK(training.guarantees[0] == GuaranteedCell { CellAdjacency::rack, 3, 48, 96 * 1024, 8, std::nullopt });
+    CHECK(document.workspaces.at(WorkspaceId { "evaluation" }).guarantees.at(0).zone == ZoneId { "zone-2" });
+    CHECK(document.limits.administrators == std::vector<std::string> { "ada", "nils" });
+    const auto again = splitDocument(joinDocument(sections));
+    REQUIRE(again.size() == sections.size());
+    CHECK(parseSections(again).workspaces == document.workspaces);
+}
+
+// Guards against a typing error that is silently ignored, and against a message that does not lead to the line.
+TEST_CASE("a refusal names section, line, value and remedy")
+{
+    const struct {
+        std::string section;
+        std::string text = "schema = 1\n";
+        std::vector<std::string> parts;
+    } cases[] {
+        { "workspace.a", "[workspace.a]\npriorty = 5\n", { "workspace.a, line 2", "priorty = 5", "use one of" } },
+        { "workspace.a", "[workspace.a]\npriority = \"high\"\n", { "line 2", "high", "whole number" } },
+        { "workspace.a", "[workspace.a]\npriority = -1\n", { "line 2", "-1", "from 0 to 1000" } },
+        { "workspace.a", "[workspace.a.queue]\njobs = 99999999999\n", { "line 2", "99999999999", "from 0" } },
+        { "workspace.a", "[[workspace.a.guarantee]]\nadjacency = \"rack\"\ntasks = 65\ncores = 1\nmemory_gib = 1\n",
+            { "line 3", "65", "from 1 to 64" } },
+        { "workspace.a", "[[workspace.a.guarantee]]\nadjacency = \"row\"\n", { "line 2", "row", "worker" } },
+        { "workspace.a", "[[workspace.a.guarantee]]\nadjacency = \"rack\"\ntasks = 1\n",
+            { "line 1", "cores is missing", "add cores" } },
+        { "workspace.a", "[workspace.a]\noperators = [\"x\", \"x\"]\n", { "line 2", "twice", "different" } },
+        { "workspace.a", "[workspace.b]\n", { "line 1", "workspace.b", "use one of: a" } },
+        { "workspace.a", "[workspace.a]\npriority = \n", { "workspace.a, line 2", "TOML" } },
+        { "workspace.a", "[workspace.a]\npriority = 1\npriority = 2\n", { "line 3", "priority" } },
+        { "zones", "[zones.z]\nin_service = 1\n", { "zones, line 2", "= 1", "true or false" } },
+        { "zones", "[zones.z]\nin_service = false\n", { "line 1", "no reason", "add reason" } },
+        { "zones", "[zones.Z]\nin_service = true\n", { "line 1", "\"Z\"", "lower-case" } },
+        { "limits", "[limits]\nadministrators = []\n", { "limits, line 1", "administrators", "at least one" } },
+        { "limits", "[zones]\n", { "line 1", "zones", "use one of: limits" } },
+    };
+    for (const auto& it : cases) {
+        const auto message = refusal(it.section, it.text);
+        for (const auto& part : it.parts)
+            CHECK_MESSAGE(has(message, part), message, " lacks ", part);
+    }
+}
+
+// Guards against a program that misreads a document written for a newer one.
+TEST_CASE("a newer schema and a missing one are refused")
+{
+    const auto message = refusal("zones", "[zones]\n", SchemaVersion { 2 });
+    CHECK(has(message, "schema 2"));
+    CHECK(has(message, "upgrade"));
+    CHECK_THROWS_AS(static_cast<void>(splitDocument("[zones]\n")), Error);
+    CHECK_THROWS_AS(static_cast<void>(splitDocument("schema = 1\n[zones]\n[limits]\n[zones.a]\n")), Error);
+    CHECK_THROWS_AS(static_cast<void>(splitDocument("schema = 1\n[zone]\n")), Error);
+}
+
+// Guards against a crash or an error of another kind on input that is no document at all.
+TEST_CASE("any text is either parsed or refused as an invalid argument")
+{
+    CHECK(rc::check([] {
+        const auto lines = *rc::gen::container<std::vector<std::string>>(rc::gen::element<std::string>("[zones]",
+            "[[zones]]", "[zones.a]", "in_service = true", "[limits", "administrators = [\"a\"]", "[", "]",
+            "[workspace.", "[workspace]", "priority = 1", "a = {", "'''", "# x", "[workspace.a.queue]", "jobs = 1e9"));
+        std::string text = "schema = 1\n";
+        for (const auto& it : lines)
+            text.append(it).append("\n");
+        try {
+            static_cast<void>(parseSections(splitDocument(text)));
+        } catch (const Error& error) {
+            RC_ASSERT(error.kind() == ErrorKind::invalidArgument);
+        }
+    }));
+}
