--- /dev/null
+++ b/src/lycheespool/document/document_digest.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "lycheespool/document/section_entry.h"
+#include "lycheespool/document/section_id.h"
+
+#include <cstdint>
+#include <map>
+#include <string_view>
+
+namespace lycheespool {
+
+/**
+ * @brief Computes the digest of a section's text.
+ * @param text Text of the section.
+ * @return XXH3 hash; detects differences between processes, not forgery.
+ */
+[[nodiscard]] std::uint64_t digestOf(std::string_view text);
+
+/**
+ * @brief Computes the digest of a whole document.
+ * @param sections What the document consists of.
+ * @return XXH3 hash over names, revisions and digests.
+ */
+[[nodiscard]] std::uint64_t digestOf(const std::map<SectionId, SectionEntry>& sections);
+
+}
--- /dev/null
+++ b/src/lycheespool/document/edit_ticket.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "lycheespool/document/edit_token.h"
+#include "lycheespool/document/section_id.h"
+
+#include <cstdint>
+
+namespace lycheespool {
+
+/*! @brief What is needed to ask for the outcome of an edit. */
+struct EditTicket {
+    SectionId section;
+    EditToken token;
+    /*! @brief Revision of the section that the editor saw. */
+    Revision base;
+    /*! @brief Version of the head row that the commit required; 0 when it is not known. */
+    std::uint64_t headVersion { 0 };
+};
+
+}
--- /dev/null
+++ b/src/lycheespool/document/head_record.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "lycheespool/document/section_entry.h"
+#include "lycheespool/document/section_id.h"
+
+#include <cstdint>
+#include <map>
+
+namespace lycheespool {
+
+/*! @brief Row `document/head`: the revision of the document and what it consists of. */
+struct HeadRecord {
+    Revision revision;
+    /*! @brief Digest of all sections. */
+    std::uint64_t digest { 0 };
+    std::map<SectionId, SectionEntry> sections;
+
+    friend bool operator==(const HeadRecord&, const HeadRecord&) = default;
+};
+
+}
--- /dev/null
+++ b/src/lycheespool/document/history_record.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "lycheespool/document/section_record.h"
+
+namespace lycheespool {
+
+/*! @brief Row `document/history/<revision>`; written once and never changed. */
+struct HistoryRecord {
+    /*! @brief The section as the edit wrote it. */
+    SectionRecord section;
+    /*! @brief Revision of the section before the edit; 0 when it did not exist. */
+    Revision previous;
+};
+
+}
--- a/src/lycheespool/document/schema_1.cpp
+++ b/src/lycheespool/document/schema_1.cpp
@@ -77,7 +77,7 @@
 
     [[nodiscard]] std::uint32_t requiredNumber(std::string_view field, Range range) const
     {
-        require(field, fmt::format("add {} = <{} to {}>", field, range.least, range.most));
+        static_cast<void>(require(field, fmt::format("add {} = <{} to {}>", field, range.least, range.most)));
         return number(field, range, 0);
     }
 
@@ -174,7 +174,7 @@
     [[nodiscard]] const toml::table& raw() const { return m_table; }
 
 private:
-    const toml::node& require(std::string_view field, const std::string& remedy) const
+    [[nodiscard]] const toml::node& require(std::string_view field, const std::string& remedy) const
     {
         if (const auto* node = m_table.get(field))
             return *node;
--- a/src/lycheespool/document/section_parser.h
+++ b/src/lycheespool/document/section_parser.h
@@ -9,7 +9,7 @@
 namespace lycheespool {
 
 /*! @brief Largest text of a section, in bytes; keeps a row of the table and a three-way difference small. */
-inline constexpr std::size_t maxSectionBytes = 64 * 1024;
+inline constexpr std::size_t maxSectionBytes = 65536;
 /*! @brief Most lines of a section; the difference of two texts takes time in proportion to the product of their lines.
  */
 inline constexpr std::size_t maxSectionLines = 2000;
--- /dev/null
+++ b/test/lycheespool/document/run.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "lycheespool/net/asio.h"
+
+#include <exception>
+#include <optional>
+
+namespace lycheespool::test {
+
+/*! @brief Runs one coroutine to its end on an io_context of its own. */
+template <typename Result>
+Result run(Awaitable<Result> work)
+{
+    asio::io_context io;
+    std::optional<Result> result;
+    std::exception_ptr failure;
+    asio::co_spawn(io, std::move(work), [&](std::exception_ptr error, Result value) {
+        failure = error;
+        result = std::move(value);
+    });
+    io.run();
+    if (failure)
+        std::rethrow_exception(failure);
+    return std::move(*result);
+}
+
+}
