--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -6,6 +6,7 @@
 binary=${LYCHEESPOOL:-build/release/lycheespool}
 entries=${ENTRIES:-3}
 executors=${EXECUTORS:-3}
+workers=${WORKERS:-4}
 base=${BASE_PORT:-8080}
 service_time_us=${SERVICE_TIME_US:-1000}
 logs=${LOGS:-run}
@@ -34,6 +35,12 @@
     start "agent-$i" agent --id "executor-$i" --zone "${zones[$(((i - 1) % 3))]}" --http "127.0.0.$((i + 1)):$((base + 31))" \
         --endpoint "127.0.0.$((i + 1)):$((base + 30))" --entries "127.0.0.1:$((base + 21))"
 done
+for ((i = 1; i <= workers; i++)); do
+    host="127.0.1.$((i + 1))"
+    start "worker-$i" worker --http "$host:$((base + 30))"
+    start "worker-agent-$i" agent --kind worker --id "worker-$i" --zone zone-a --rack "rack-$(((i + 2) / 3))" \
+        --http "$host:$((base + 31))" --endpoint "$host:$((base + 30))" --entries "127.0.0.1:$((base + 21))"
+done
 for ((i = 1; i <= entries; i++)); do
     for ((n = 0; n < 100; n++)); do
         count=$(curl -s "127.0.0.1:$((base + i))/v1/status" | grep -c '"agent"' || true)
--- a/src/lycheespool/agent/executor_endpoint.cpp
+++ b/src/lycheespool/agent/executor_endpoint.cpp
@@ -8,6 +8,7 @@
 ExecutorEndpoint::ExecutorEndpoint(ExecutorEndpointSettings settings, Metrics& metrics)
     : m_settings { std::move(settings) }
     , m_executor { m_settings.executor }
+    , m_ledger { m_settings.incarnation }
     , m_accepted { metrics.counter("requests_accepted_total") }
     , m_refused { metrics.counter("requests_refused_total") }
 {
@@ -37,6 +38,8 @@
 
 void ExecutorEndpoint::handle(const std::shared_ptr<RpcConnection>& connection, Envelope envelope)
 {
+    if (envelope.type == MessageType::inquire)
+        return answerInquiry(*connection, envelope);
     if (envelope.type != MessageType::execute)
         return;
     auto request = envelope.as<Execute>();
@@ -60,7 +63,7 @@
     if (mayAccept(request)) {
         m_accepted.add();
         ++m_busy;
-        co_await passOn(request, reply);
+        co_await executeOnce(request, reply);
         --m_busy;
     } else {
         m_refused.add();
@@ -70,6 +73,35 @@
     connection->send(reply, correlation);
 }
 
+void ExecutorEndpoint::answerInquiry(RpcConnection& connection, const Envelope& envelope)
+{
+    const auto reply = m_ledger.inquire(envelope.as<Inquire>(), SteadyClock {}.now());
+    connection.send(reply, envelope.correlation);
+}
+
+Awaitable<> ExecutorEndpoint::executeOnce(const Execute& request, ExecuteReply& reply)
+{
+    if (request.idempotent) {
+        co_await passOn(request, reply);
+        co_return;
+    }
+    auto decision = m_ledger.begin(request.key, SteadyClock {}.now());
+    if (!decision.run) {
+        reply.outcome = decision.outcome;
+        reply.status = decision.status;
+        reply.body = std::move(decision.body);
+        co_return;
+    }
+    co_await passOn(request, reply);
+    const auto now = SteadyClock {}.now();
+    if (reply.outcome == Outcome::done)
+        m_ledger.finish(request.key, reply.status, reply.body, now);
+    else if (reply.outcome == Outcome::notRun)
+        m_ledger.release(request.key);
+    else
+        m_ledger.abandon(request.key, now);
+}
+
 Awaitable<> ExecutorEndpoint::passOn(const Execute& request, ExecuteReply& reply)
 {
     HttpRequest message;
--- a/src/lycheespool/agent/executor_endpoint.h
+++ b/src/lycheespool/agent/executor_endpoint.h
@@ -3,6 +3,7 @@
 #include "lycheespool/agent/endpoint.h"
 #include "lycheespool/core/metrics.h"
 #include "lycheespool/net/http_client.h"
+#include "lycheespool/request/execution_ledger.h"
 
 #include <cstdint>
 #include <memory>
@@ -39,12 +40,15 @@
 private:
     [[nodiscard]] Awaitable<> execute(
         std::shared_ptr<RpcConnection> connection, std::uint64_t correlation, Execute request);
+    [[nodiscard]] Awaitable<> executeOnce(const Execute& request, ExecuteReply& reply);
     [[nodiscard]] Awaitable<> passOn(const Execute& request, ExecuteReply& reply);
+    void answerInquiry(RpcConnection& connection, const Envelope& envelope);
     [[nodiscard]] bool mayAccept(const Execute& request) const;
     [[nodiscard]] std::uint32_t slotsFree() const { return m_settings.slots - m_busy; }
 
     ExecutorEndpointSettings m_settings;
     HttpClient m_executor;
+    ExecutionLedger m_ledger;
     std::uint32_t m_busy { 0 };
     std::uint64_t m_sequence { 0 };
     bool m_draining { false };
--- a/src/lycheespool/cli/command.cpp
+++ b/src/lycheespool/cli/command.cpp
@@ -26,6 +26,7 @@
     Role { "load", "sends requests to an entry and reports rates and latencies", runLoad },
     Role { "table", "emulates the platform's table service and object store", runTable },
     Role { "executor", "emulates an executor", runExecutor },
+    Role { "worker", "emulates a worker", runWorker },
 };
 
 void printUsage(std::FILE* stream)
--- a/src/lycheespool/cli/dev_system.cpp
+++ b/src/lycheespool/cli/dev_system.cpp
@@ -18,6 +18,7 @@
 {
     EntrySettings settings;
     settings.id = EntryId { "entry-1" };
+    settings.incarnation = drawIncarnation();
     settings.zone = ZoneId { zones[0] };
     settings.http = http;
     settings.rpc = loopback();
--- a/src/lycheespool/cli/role_agent.cpp
+++ b/src/lycheespool/cli/role_agent.cpp
@@ -1,9 +1,11 @@
 #include "lycheespool/agent/agent_process.h"
 #include "lycheespool/agent/executor_endpoint.h"
+#include "lycheespool/agent/worker_endpoint.h"
 #include "lycheespool/cli/incarnation.h"
 #include "lycheespool/cli/process_runner.h"
 #include "lycheespool/cli/roles.h"
 #include "lycheespool/cli/settings_parser.h"
+#include "lycheespool/cli/worker_capacity.h"
 #include "lycheespool/core/error.h"
 
 #include <sstream>
@@ -22,55 +24,88 @@
 }
 
 template <Endpoint EndpointType>
-ExitCode runBeside(
-    EndpointType& endpoint, IoPool& pool, AgentSettings settings, Duration drainTimeout, Metrics& metrics)
+ExitCode runBeside(AgentProcess<EndpointType>& agent, IoPool& pool, const SettingsParser& parser, Metrics& metrics)
 {
     addProcessGauges(metrics);
-    AgentProcess<EndpointType> agent { pool, std::move(settings), endpoint, metrics };
     agent.start();
+    const auto drainTimeout = std::chrono::milliseconds { parser.number("drain-timeout-ms") };
     return runUntilSignal(pool, [&] { return agent.drain(drainTimeout); });
 }
 
 void declare(SettingsParser& parser)
 {
     parser.addText("id", "name of this agent, unique in the system", "");
-    parser.addText("kind", "what runs beside: executor", "executor");
+    parser.addText("kind", "what runs beside: executor or worker", "executor");
     parser.addText("zone", "availability zone of this VM", "");
     parser.addText("rack", "rack of this VM", "");
-    parser.addText("endpoint", "HTTP address of the executor", "127.0.0.1:8100");
+    parser.addText("endpoint", "HTTP address of the executor or worker", "127.0.0.1:8100");
     parser.addText("entries", "RPC addresses of some entries, separated by commas", "127.0.0.1:8081");
     parser.addText("http", "address for metrics and health", "127.0.0.1:8082");
     parser.addNumber("slots", "slots of the executor", 8, 1, 1024);
+    addCapacitySettings(parser);
     parser.addNumber("drain-timeout-ms", "longest time for work in flight at a planned stop, ms", 30000, 0, 600000);
 }
 
-}
-
-ExitCode runAgent(const Args& args)
+AgentSettings readAgentSettings(const SettingsParser& parser)
 {
-    SettingsParser parser { "agent", "Runs beside an executor and connects it to the entries." };
-    declare(parser);
-    parser.parse(args);
-    if (parser.text("kind") != "executor")
-        throw Error { ErrorKind::invalidSetting, "setting --kind: '" + parser.text("kind") + "' is not known",
-            "use executor" };
-
     AgentSettings settings;
     settings.incarnation = drawIncarnation();
     settings.entries = parseAddresses(parser.required("entries"));
     settings.http = parseAddress(parser.required("http"));
-    ExecutorEndpointSettings endpointSettings;
-    endpointSettings.agent = AgentId { parser.required("id") };
-    endpointSettings.incarnation = settings.incarnation;
-    endpointSettings.zone = ZoneId { parser.required("zone") };
-    endpointSettings.rack = RackId { parser.text("rack") };
-    endpointSettings.slots = static_cast<std::uint32_t>(parser.number("slots"));
-    endpointSettings.executor = parseAddress(parser.required("endpoint"));
-    const auto drainTimeout = std::chrono::milliseconds { parser.number("drain-timeout-ms") };
+    return settings;
+}
+
+ExitCode runBesideExecutor(const SettingsParser& parser)
+{
+    auto settings = readAgentSettings(parser);
+    ExecutorEndpointSettings executor;
+    executor.agent = AgentId { parser.required("id") };
+    executor.incarnation = settings.incarnation;
+    executor.zone = ZoneId { parser.required("zone") };
+    executor.rack = RackId { parser.text("rack") };
+    executor.slots = static_cast<std::uint32_t>(parser.number("slots"));
+    executor.executor = parseAddress(parser.required("endpoint"));
+    Metrics metrics;
+    ExecutorEndpoint endpoint { std::move(executor), metrics };
+    IoPool pool { 1 };
+    AgentProcess<ExecutorEndpoint> agent { pool, std::move(settings), endpoint, metrics };
+    return runBeside(agent, pool, parser, metrics);
+}
+
+ExitCode runBesideWorker(const SettingsParser& parser)
+{
+    auto settings = readAgentSettings(parser);
+    WorkerSettings worker;
+    worker.agent = AgentId { parser.required("id") };
+    worker.incarnation = settings.incarnation;
+    worker.zone = ZoneId { parser.required("zone") };
+    worker.rack = RackId { parser.required("rack") };
+    worker.capacity = readCapacity(parser);
     Metrics metrics;
-    ExecutorEndpoint endpoint { std::move(endpointSettings), metrics };
     IoPool pool { 1 };
-    return runBeside(endpoint, pool, std::move(settings), drainTimeout, metrics);
+    WorkerEndpoint endpoint { pool.context().get_executor(), worker, parseAddress(parser.required("endpoint")),
+        metrics };
+    AgentProcess<WorkerEndpoint> agent { pool, std::move(settings), endpoint, metrics };
+    endpoint.setFreshnessRequest([&agent]() -> Awaitable<> { (void)co_await agent.refresh(); });
+    endpoint.start();
+    const auto code = runBeside(agent, pool, parser, metrics);
+    endpoint.stop();
+    return code;
+}
+
+}
+
+ExitCode runAgent(const Args& args)
+{
+    SettingsParser parser { "agent", "Runs beside an executor or a worker and connects it to the entries." };
+    declare(parser);
+    parser.parse(args);
+    const auto kind = parser.text("kind");
+    if (kind == "executor")
+        return runBesideExecutor(parser);
+    if (kind == "worker")
+        return runBesideWorker(parser);
+    throw Error { ErrorKind::invalidSetting, "setting --kind: '" + kind + "' is not known", "use executor or worker" };
 }
 
 }
--- a/src/lycheespool/cli/role_entry.cpp
+++ b/src/lycheespool/cli/role_entry.cpp
@@ -1,3 +1,4 @@
+#include "lycheespool/cli/incarnation.h"
 #include "lycheespool/cli/process_runner.h"
 #include "lycheespool/cli/roles.h"
 #include "lycheespool/cli/settings_parser.h"
@@ -20,6 +21,7 @@
 
     EntrySettings settings;
     settings.id = EntryId { parser.required("id") };
+    settings.incarnation = drawIncarnation();
     settings.zone = ZoneId { parser.required("zone") };
     settings.domain = parser.required("domain");
     settings.http = parseAddress(parser.required("http"));
--- a/src/lycheespool/cli/roles.h
+++ b/src/lycheespool/cli/roles.h
@@ -23,6 +23,8 @@
 /*! @copydoc runEntry */
 [[nodiscard]] ExitCode runExecutor(const Args& args);
 /*! @copydoc runEntry */
+[[nodiscard]] ExitCode runWorker(const Args& args);
+/*! @copydoc runEntry */
 [[nodiscard]] ExitCode runDev(const Args& args);
 /*! @copydoc runEntry */
 [[nodiscard]] ExitCode runLoad(const Args& args);
--- a/src/lycheespool/entry/entry_process.cpp
+++ b/src/lycheespool/entry/entry_process.cpp
@@ -3,6 +3,7 @@
 #include "lycheespool/core/error.h"
 #include "lycheespool/core/log.h"
 #include "lycheespool/entry/request_api.h"
+#include "lycheespool/net/sleep.h"
 
 #include <nlohmann/json.hpp>
 
@@ -11,6 +12,13 @@
 namespace {
 
 constexpr std::string_view workspacePrefix = "/v1/workspaces/";
+constexpr std::string_view jobPrefix = "/v1/jobs/";
+constexpr Duration headReadInterval = std::chrono::seconds { 1 };
+
+SchedulerSettings schedulerSettings(const EntrySettings& settings)
+{
+    return { settings.domain, settings.id, settings.incarnation };
+}
 
 HttpResponse text(std::string body)
 {
@@ -34,6 +42,8 @@
     , m_metrics { metrics }
     , m_table { m_settings.table, metrics }
     , m_requests { m_settings.id, m_settings.zone, m_table, m_membership, metrics }
+    , m_jobs { m_table }
+    , m_scheduler { pool.context(), schedulerSettings(m_settings), m_table, m_agents, metrics }
     , m_rpc { pool, m_settings.rpc, metrics,
         [this](const auto& connection, Envelope envelope) { receive(connection, std::move(envelope)); },
         [this](const auto& connection) { forget(connection); } }
@@ -48,6 +58,8 @@
     m_rpc.start();
     m_http.start();
     asio::co_spawn(m_pool.context(), m_registry.run(), asio::detached);
+    asio::co_spawn(m_pool.context(), watchHead(), asio::detached);
+    m_scheduler.start();
     log(LogLevel::info, "entry {} serves clients on {} and agents on {}", m_settings.id.value(),
         httpAddress().toString(), rpcAddress().toString());
 }
@@ -55,6 +67,7 @@
 Awaitable<bool> EntryProcess::drain()
 {
     m_draining = true;
+    m_scheduler.stop();
     co_await m_registry.withdraw();
     const bool clean = co_await m_http.drain(m_settings.drainTimeout);
     m_rpc.stop();
@@ -65,6 +78,8 @@
 {
     if (request.path.starts_with(workspacePrefix))
         co_return co_await serveWorkspace(std::move(request));
+    if (request.path.starts_with(jobPrefix))
+        co_return co_await serveJob(std::move(request));
     if (request.path == "/healthz")
         co_return text("ok\n");
     if (request.path == "/readyz") {
@@ -90,9 +105,43 @@
         auto answer = co_await m_requests.execute(std::move(clientRequest));
         co_return writeClientAnswer(std::move(answer));
     }
+    if (resource == "jobs" && request.method == "POST")
+        co_return co_await m_jobs.submit(workspace, std::move(request));
+    throw unknownPath(request);
+}
+
+Awaitable<HttpResponse> EntryProcess::serveJob(HttpRequest request)
+{
+    JobId id { request.path.substr(jobPrefix.size()) };
+    if (request.method == "GET")
+        co_return co_await m_jobs.show(std::move(id));
+    if (request.method == "DELETE")
+        co_return co_await m_jobs.cancel(std::move(id));
     throw unknownPath(request);
 }
 
+Awaitable<> EntryProcess::watchHead()
+{
+    while (!m_draining) {
+        const auto sent = SteadyClock {}.now();
+        try {
+            co_await m_table.get("document/head");
+            m_headReadSent = sent.time_since_epoch().count();
+        } catch (const Error&) {
+            m_metrics.counter("document_read_failures_total").add();
+        }
+        co_await sleepFor(headReadInterval);
+    }
+}
+
+Freshness EntryProcess::freshness() const
+{
+    const auto age = SteadyClock {}.now().time_since_epoch() - TimePoint::duration { m_headReadSent.load() };
+    Freshness freshness;
+    freshness.ageMs = static_cast<std::uint64_t>(std::chrono::ceil<std::chrono::milliseconds>(age).count());
+    return freshness;
+}
+
 HttpResponse EntryProcess::status() const
 {
     auto executors = nlohmann::json::array();
@@ -103,7 +152,7 @@
     HttpResponse response;
     response.body = nlohmann::json {
         { "entry", m_settings.id.value() }, { "entries", m_registry.entries() }, { "tableDown", m_table.isDown() },
-        { "executors", executors }
+        { "leader", m_scheduler.isLeader() }, { "executors", executors }
     }.dump(2);
     response.body += '\n';
     return response;
@@ -130,10 +179,14 @@
     m_agents.add(hello, connection);
     if (hello.kind == EndpointKind::executor)
         m_membership.join(hello, connection, SteadyClock {}.now());
+    else
+        m_scheduler.post([hello](auto& scheduler) { scheduler.onHello(hello.agent, hello, SteadyClock {}.now()); });
     log(LogLevel::info, "agent {} joined from zone {}", hello.agent.value(), hello.zone.value());
     HelloReply reply;
     reply.entry = m_settings.id;
     reply.entries = m_registry.entries();
+    reply.epoch = m_scheduler.newestEpoch();
+    reply.freshness = freshness();
     connection->send(reply, envelope.correlation);
 }
 
@@ -143,8 +196,15 @@
     const auto hello = m_agents.find(connection.get());
     if (!hello)
         throw Error { ErrorKind::malformedFrame, "heartbeat before the announcement", "send Hello first" };
-    m_membership.report(hello->agent, heartbeat, SteadyClock {}.now());
+    if (hello->kind == EndpointKind::executor) {
+        m_membership.report(hello->agent, heartbeat, SteadyClock {}.now());
+    } else {
+        m_scheduler.post([agent = hello->agent, heartbeat](
+                             auto& scheduler) { scheduler.onHeartbeat(agent, heartbeat, SteadyClock {}.now()); });
+    }
     HeartbeatReply reply;
+    reply.epoch = m_scheduler.newestEpoch();
+    reply.freshness = freshness();
     reply.entries = m_registry.entries();
     connection->send(reply, envelope.correlation);
 }
@@ -161,8 +221,11 @@
 void EntryProcess::forget(const std::shared_ptr<RpcConnection>& connection)
 {
     m_membership.disconnect(connection.get());
-    if (const auto agent = m_agents.remove(connection.get()))
-        log(LogLevel::info, "agent {} disconnected", agent->value());
+    const auto agent = m_agents.remove(connection.get());
+    if (!agent)
+        return;
+    log(LogLevel::info, "agent {} disconnected", agent->value());
+    m_scheduler.post([id = *agent](auto& scheduler) { scheduler.onDisconnected(id, SteadyClock {}.now()); });
 }
 
 }
--- a/src/lycheespool/entry/entry_process.h
+++ b/src/lycheespool/entry/entry_process.h
@@ -4,8 +4,11 @@
 #include "lycheespool/entry/agent_directory.h"
 #include "lycheespool/entry/entry_registry.h"
 #include "lycheespool/entry/entry_settings.h"
+#include "lycheespool/entry/job_api.h"
+#include "lycheespool/entry/scheduler_host.h"
 #include "lycheespool/net/http_server.h"
 #include "lycheespool/net/rpc_server.h"
+#include "lycheespool/placement/first_fit.h"
 #include "lycheespool/request/membership.h"
 #include "lycheespool/request/request_path.h"
 #include "lycheespool/store/http_table.h"
@@ -49,7 +52,10 @@
 private:
     [[nodiscard]] Awaitable<HttpResponse> serve(HttpRequest request);
     [[nodiscard]] Awaitable<HttpResponse> serveWorkspace(HttpRequest request);
+    [[nodiscard]] Awaitable<HttpResponse> serveJob(HttpRequest request);
     [[nodiscard]] HttpResponse status() const;
+    [[nodiscard]] Awaitable<> watchHead();
+    [[nodiscard]] Freshness freshness() const;
     void receive(const std::shared_ptr<RpcConnection>& connection, Envelope envelope);
     void receiveHello(const std::shared_ptr<RpcConnection>& connection, const Envelope& envelope);
     void receiveHeartbeat(const std::shared_ptr<RpcConnection>& connection, const Envelope& envelope);
@@ -63,9 +69,12 @@
     Membership m_membership;
     AgentDirectory m_agents;
     RequestPath<HttpTable> m_requests;
+    JobApi<HttpTable> m_jobs;
+    SchedulerHost<FirstFit, HttpTable> m_scheduler;
     RpcServer m_rpc;
     HttpServer m_http;
     EntryRegistry<HttpTable> m_registry;
+    std::atomic<TimePoint::rep> m_headReadSent { 0 };
     std::atomic<bool> m_draining { false };
 };
 
--- a/src/lycheespool/entry/entry_settings.h
+++ b/src/lycheespool/entry/entry_settings.h
@@ -12,6 +12,7 @@
 /*! @brief Settings of an entry. */
 struct EntrySettings {
     EntryId id;
+    Incarnation incarnation;
     ZoneId zone;
     /*! @brief Scheduling domain whose leader lease this entry may hold. */
     std::string domain { "default" };
--- /dev/null
+++ b/src/lycheespool/entry/scheduler_host.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "lycheespool/core/log.h"
+#include "lycheespool/core/metrics.h"
+#include "lycheespool/entry/agent_directory.h"
+#include "lycheespool/net/io_pool.h"
+#include "lycheespool/net/sleep.h"
+#include "lycheespool/placement/placement_policy.h"
+#include "lycheespool/scheduler/scheduler.h"
+#include "lycheespool/store/table.h"
+
+#include <atomic>
+#include <chrono>
+#include <memory>
+
+namespace lycheespool {
+
+/**
+ * @brief Runs the scheduler of an entry on the control thread and passes agents' messages to it from any thread.
+ * @tparam Policy Model of PlacementPolicy.
+ * @tparam TableType Model of Table.
+ */
+template <PlacementPolicy Policy, Table TableType>
+class SchedulerHost {
+public:
+    /*! @brief Type of the scheduler. */
+    using SchedulerType = Scheduler<Policy, TableType, AgentDirectory>;
+    /*! @brief Time between two steps; adds to the start time of urgent work. */
+    static constexpr Duration stepInterval = std::chrono::milliseconds { 100 };
+
+    /**
+     * @brief Makes a host.
+     * @param context Context of the control thread.
+     * @param settings Domain and own name.
+     * @param table Table service.
+     * @param agents Carries orders.
+     * @param metrics Registry for counters.
+     */
+    SchedulerHost(asio::io_context& context, const SchedulerSettings& settings, TableType& table,
+        AgentDirectory& agents, Metrics& metrics)
+        : m_context { context }
+        , m_scheduler { context.get_executor(), settings, [] { return std::make_unique<Policy>(); }, table, agents,
+            metrics }
+    {
+    }
+
+    /*! @brief Starts to step. */
+    void start() { asio::co_spawn(m_context, run(), asio::detached); }
+
+    /*! @brief Stops to step; the lease runs out by itself. */
+    void stop() { m_stopped = true; }
+
+    /**
+     * @brief Calls a function of the scheduler on its thread.
+     * @tparam Call Callable with a reference to the scheduler.
+     * @param call The call.
+     */
+    template <typename Call>
+    void post(Call call)
+    {
+        asio::post(m_context, [this, call = std::move(call)]() mutable { call(m_scheduler); });
+    }
+
+    /**
+     * @brief Tells whether this entry leads its domain; from any thread.
+     * @return True while it does.
+     */
+    [[nodiscard]] bool isLeader() const { return m_leader; }
+
+    /**
+     * @brief Gives the newest epoch seen; from any thread.
+     * @return The epoch.
+     */
+    [[nodiscard]] Epoch newestEpoch() const { return Epoch { m_epoch.load() }; }
+
+private:
+    [[nodiscard]] Awaitable<> run()
+    {
+        while (!m_stopped) {
+            const auto now = SteadyClock {}.now();
+            co_await m_scheduler.step(now);
+            m_epoch = m_scheduler.newestEpoch().value();
+            m_leader = m_scheduler.isLeader();
+            co_await sleepFor(stepInterval);
+        }
+    }
+
+    asio::io_context& m_context;
+    SchedulerType m_scheduler;
+    std::atomic<std::uint64_t> m_epoch { 0 };
+    std::atomic<bool> m_leader { false };
+    std::atomic<bool> m_stopped { false };
+};
+
+}
--- /dev/null
+++ b/test/lycheespool/cli/job_path.cpp
@@ -0,0 +1,92 @@
+#include "lycheespool/cli/test_system.h"
+
+#include <doctest/doctest.h>
+
+using namespace lycheespool;
+using namespace lycheespool::test;
+
+namespace {
+
+const std::string jobsTarget = "/v1/workspaces/w/jobs";
+
+nlohmann::json jobBody(std::uint32_t tasks, std::uint32_t runTimeSeconds)
+{
+    return { { "tasks", tasks }, { "cores", 4 }, { "memoryMiB", 1024 }, { "accelerators", 8 },
+        { "runTimeSeconds", runTimeSeconds } };
+}
+
+std::string stateOf(TestSystem& system, std::size_t entry, const std::string& job)
+{
+    const auto response = system.send(system.entryAddress(entry), "GET", "/v1/jobs/" + job);
+    return nlohmann::json::parse(response.body)["state"].get<std::string>();
+}
+
+}
+
+// Guards against a gang of which only a part runs: with one worker too few, nothing may start.
+TEST_CASE("a gang starts on all of its workers or on none")
+{
+    TestSystem system { 3, 1 };
+    for (std::size_t i = 0; i < 3; ++i)
+        system.startWorker(i);
+    const auto response = system.send(system.entryAddress(0), "POST", jobsTarget, jobBody(4, 1).dump(), { { "Idempotency-Key", "gang" } });
+    CHECK(response.status == 202);
+    TestSystem::waitFor("a leader knows three workers", [&] { return system.leaderOf(3).has_value(); });
+    CHECK(stateOf(system, 1, "gang") == "queued");
+    CHECK(system.runningTasks() == 0);
+    system.startWorker(3);
+    TestSystem::waitFor("the gang is done", [&] { return stateOf(system, 2, "gang") == "done"; });
+    CHECK(system.startedTasks() == 4);
+}
+
+// Guards against a job that is submitted twice when a client repeats its call through another entry.
+TEST_CASE("the same key submits a job once, another body is refused")
+{
+    TestSystem system { 2, 1 };
+    const std::vector<HttpField> key { { "Idempotency-Key", "once" } };
+    CHECK(system.send(system.entryAddress(0), "POST", jobsTarget, jobBody(1, 1).dump(), key).status == 202);
+    CHECK(system.send(system.entryAddress(1), "POST", jobsTarget, jobBody(1, 1).dump(), key).status == 202);
+    CHECK(system.send(system.entryAddress(1), "POST", jobsTarget, jobBody(2, 1).dump(), key).status == 409);
+}
+
+// Guards against running gangs that stop, restart or double when the leader dies.
+TEST_CASE("a running gang survives the death of the leader")
+{
+    TestSystem system { 3, 1 };
+    for (std::size_t i = 0; i < 2; ++i)
+        system.startWorker(i);
+    const auto target = system.entryAddress(0);
+    CHECK(system.send(target, "POST", jobsTarget, jobBody(2, 20).dump(), { { "Idempotency-Key", "long" } }).status == 202);
+    TestSystem::waitFor("the gang runs", [&] { return system.runningTasks() == 2; });
+    const auto leader = system.leaderOf(2);
+    REQUIRE(leader);
+    const auto other = (*leader + 1) % 3;
+    system.entry(*leader).signal(SIGKILL);
+    TestSystem::waitFor("the gang is done", [&] { return stateOf(system, other, "long") == "done"; });
+    const auto job = nlohmann::json::parse(system.send(system.entryAddress(other), "GET", "/v1/jobs/long").body);
+    CHECK(job["attempt"] == 1);
+    CHECK(system.startedTasks() == 2);
+}
+
+// Guards against job descriptions that are accepted although they can never run or make no sense.
+TEST_CASE("bad jobs are refused with a remedy")
+{
+    TestSystem system { 1, 1 };
+    const auto refused = [&](const std::string& body) {
+        const auto response = system.send(system.entryAddress(0), "POST", jobsTarget, body);
+        CHECK(response.status == 400);
+        CHECK_FALSE(nlohmann::json::parse(response.body)["remedy"].get<std::string>().empty());
+    };
+    refused("");
+    refused("[]");
+    refused(jobBody(0, 1).dump());
+    refused(jobBody(65, 1).dump());
+    auto body = jobBody(1, 1);
+    body["accelerators"] = -1;
+    refused(body.dump());
+    body["accelerators"] = "8";
+    refused(body.dump());
+    body = jobBody(1, 1);
+    body["surprise"] = true;
+    refused(body.dump());
+}
