--- /dev/null
+++ b/src/lycheespool/document/document_state.cpp
@@ -0,0 +1,18 @@
+#include "lycheespool/document/document_state.h"
+
+namespace lycheespool {
+
+std::optional<Duration> DocumentState::age(TimePoint now) const
+{
+    if (!document || !sentAt || highest > head.revision)
+        return std::nullopt;
+    return now - *sentAt;
+}
+
+bool DocumentState::isFresh(TimePoint now) const
+{
+    const auto present = age(now);
+    return present && *present <= freshnessLimit;
+}
+
+}
--- a/src/lycheespool/document/section_parser.cpp
+++ b/src/lycheespool/document/section_parser.cpp
@@ -139,9 +139,12 @@
 
 void parseSection(const SectionText& section, Document& document)
 {
-    static_cast<void>(kindOf(section.section));
-    if (isBlank(section.text))
+    const auto kind = kindOf(section.section);
+    if (isBlank(section.text)) {
+        if (kind == SectionKind::workspace)
+            document.workspaces.erase(workspaceOf(section.section));
         return;
+    }
     checkSize(section);
     switch (section.schema.value()) {
     case 1:
--- a/src/lycheespool/document/section_parser.h
+++ b/src/lycheespool/document/section_parser.h
@@ -15,9 +15,9 @@
 inline constexpr std::size_t maxSectionLines = 2000;
 
 /**
- * @brief Parses one section and puts its contents into a document.
- * @param section Text of the section; an empty text leaves the section out.
- * @param document Receives the contents.
+ * @brief Parses one section and replaces its contents in a document.
+ * @param section Text of the section; an empty text removes a workspace.
+ * @param document Receives the contents; unchanged when an error is thrown.
  * @throws Error of kind invalidArgument that names section, line, value and remedy.
  */
 void parseSection(const SectionText& section, Document& document);
--- a/src/lycheespool/wire/messages.h
+++ b/src/lycheespool/wire/messages.h
@@ -18,7 +18,9 @@
     Revision revision;
     std::uint64_t ageMs { 0 };
     std::vector<ZoneId> zonesOut;
-    MSGPACK_DEFINE(revision, ageMs, zonesOut)
+    /*! @brief Digest of all sections; equal revisions with different digests are an error. */
+    std::uint64_t digest { 0 };
+    MSGPACK_DEFINE(revision, ageMs, zonesOut, digest)
 };
 
 /*! @brief State of one task, as its agent reports it. */
--- a/test/lycheespool/document/document_store.cpp
+++ b/test/lycheespool/document/document_store.cpp
@@ -98,7 +98,7 @@
     void start(Edit edit)
     {
         asio::co_spawn(io, store.apply(std::move(edit)),
-            [this](std::exception_ptr, EditResult value) { result = std::move(value); });
+            [this](const std::exception_ptr&, EditResult value) { result = std::move(value); });
         settle();
     }
 
--- a/test/lycheespool/document/run.h
+++ b/test/lycheespool/document/run.h
@@ -14,7 +14,7 @@
     asio::io_context io;
     std::optional<Result> result;
     std::exception_ptr failure;
-    asio::co_spawn(io, std::move(work), [&](std::exception_ptr error, Result value) {
+    asio::co_spawn(io, std::move(work), [&](const std::exception_ptr& error, Result value) {
         failure = error;
         result = std::move(value);
     });
