--- a/src/lycheespool/net/http_server.cpp
+++ b/src/lycheespool/net/http_server.cpp
@@ -2,12 +2,14 @@
 
 #include "lycheespool/core/error.h"
 #include "lycheespool/core/log.h"
+#include "lycheespool/net/acceptor.h"
 #include "lycheespool/net/sleep.h"
 
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <nlohmann/json.hpp>
 
+#include <array>
 #include <mutex>
 #include <set>
 
@@ -20,6 +22,9 @@
 namespace {
 
 constexpr std::uint32_t maxHeaderBytes = 8 * 1024;
+// Bounds of the input that is read and discarded after a refusal.
+constexpr std::size_t maxDiscardedBytes = std::size_t { 8 } * 1024 * 1024;
+constexpr auto maxDiscardTime = std::chrono::seconds { 2 };
 
 using Parser = http::request_parser<http::string_body>;
 using Response = http::response<http::string_body>;
@@ -129,6 +134,7 @@
     Awaitable<> serve(std::shared_ptr<beast::tcp_stream> stream);
     Awaitable<bool> serveOne(beast::tcp_stream& stream, beast::flat_buffer& buf);
     Awaitable<HttpResponse> answer(HttpRequest request);
+    Awaitable<> discardInput(beast::tcp_stream& stream);
     void closeIdle();
 
     IoPool& pool;
@@ -235,9 +241,15 @@
             response = toProblem(error);
         }
     }
+    if (response.dropConnection) {
+        --inFlight;
+        co_return false;
+    }
     auto message = toMessage(std::move(response), version, keepAlive && !draining);
     stream.expires_after(std::chrono::duration_cast<std::chrono::nanoseconds>(limits.requestTimeout));
     co_await http::async_write(stream, message, asio::redirect_error(asio::use_awaitable, ec));
+    if (bad && !ec)
+        co_await discardInput(stream);
     --inFlight;
     co_return !ec && message.keep_alive();
 }
@@ -256,6 +268,20 @@
     co_return response;
 }
 
+/*! @brief Reads what a refused client still sends; closing at once would reset the connection and lose the response. */
+Awaitable<> HttpServer::State::discardInput(beast::tcp_stream& stream)
+{
+    boost::system::error_code ec;
+    stream.socket().shutdown(tcp::socket::shutdown_send, ec);
+    stream.expires_after(maxDiscardTime);
+    std::array<char, 4096> buf {};
+    std::size_t discarded = 0;
+    while (!ec && discarded < maxDiscardedBytes) {
+        const auto space = asio::buffer(buf);
+        discarded += co_await stream.async_read_some(space, asio::redirect_error(asio::use_awaitable, ec));
+    }
+}
+
 void HttpServer::State::closeIdle()
 {
     const std::scoped_lock lock { streamsMutex };
@@ -266,25 +292,12 @@
 HttpServer::HttpServer(IoPool& pool, const Address& address, Metrics& metrics, Handler handler, HttpServerLimits limits)
     : m_state { std::make_shared<State>(pool, metrics, std::move(handler), limits) }
 {
-    boost::system::error_code ec;
-    const auto endpoint = address.endpoint();
-    m_state->acceptor.open(endpoint.protocol(), ec);
-    m_state->acceptor.set_option(tcp::acceptor::reuse_address { true }, ec);
-    m_state->acceptor.bind(endpoint, ec);
-    if (!ec)
-        m_state->acceptor.listen(asio::socket_base::max_listen_connections, ec);
-    if (ec)
-        throw Error { ErrorKind::invalidSetting, "cannot listen on " + address.toString() + ": " + ec.message(),
-            "choose another address or stop the process that uses it" };
+    listenOn(m_state->acceptor, address);
 }
 
 HttpServer::~HttpServer() = default;
 
-Address HttpServer::address() const
-{
-    const auto endpoint = m_state->acceptor.local_endpoint();
-    return { endpoint.address().to_string(), endpoint.port() };
-}
+Address HttpServer::address() const { return boundAddress(m_state->acceptor); }
 
 void HttpServer::start()
 {
--- /dev/null
+++ b/src/lycheespool/request/request_path.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include "lycheespool/core/metrics.h"
+#include "lycheespool/request/claimed_runner.h"
+#include "lycheespool/request/client_answer.h"
+#include "lycheespool/request/client_request.h"
+#include "lycheespool/request/executor_calls.h"
+#include "lycheespool/request/membership.h"
+#include "lycheespool/request/power_of_two.h"
+#include "lycheespool/request/retry_budget.h"
+#include "lycheespool/request/rpc_dispatcher.h"
+#include "lycheespool/request/timing.h"
+#include "lycheespool/store/table.h"
+
+#include <utility>
+
+namespace lycheespool {
+
+/**
+ * @brief Serves clients' requests: chooses an executor, dispatches, and gives one final answer.
+ *
+ * execute() may be called from any thread that runs an Asio context alone. The object must outlive the contexts on
+ * which execute() was called, or at least their run: some work goes on after the client has its answer.
+ *
+ * @tparam TableType Model of Table, for the claims of non-idempotent requests.
+ * @tparam DispatcherType Model of Dispatcher.
+ * @tparam Policy Model of RoutingPolicy.
+ * @tparam TimingType Model of Timing.
+ */
+template <Table TableType, Dispatcher DispatcherType = RpcDispatcher, RoutingPolicy Policy = PowerOfTwo<>,
+    Timing TimingType = SteadyTiming>
+class RequestPath {
+public:
+    /**
+     * @brief Makes the request path of one entry.
+     * @param entry Name of this entry.
+     * @param zone Zone of this entry.
+     * @param table Table service.
+     * @param membership Known executors.
+     * @param metrics Registry for counters.
+     * @param dispatcher Carries requests to agents.
+     * @param timing Clock and timers.
+     */
+    RequestPath(EntryId entry, ZoneId zone, TableType& table, Membership& membership, Metrics& metrics,
+        DispatcherType dispatcher = {}, TimingType timing = {})
+        : m_timing { std::move(timing) }
+        , m_calls { std::move(zone), membership, metrics, std::move(dispatcher), m_timing }
+        , m_claimed { std::move(entry), table, m_calls, m_budget, metrics, m_timing }
+    {
+    }
+
+    /**
+     * @brief Runs a request.
+     * @param request The request.
+     * @return Its final answer; never throws for failures of executors, agents or the table.
+     */
+    [[nodiscard]] Awaitable<ClientAnswer> execute(ClientRequest request)
+    {
+        m_budget.deposit();
+        const auto deadline = m_timing.now() + request.timeout;
+        if (!request.idempotent)
+            co_return co_await m_claimed.run(std::move(request), deadline);
+        co_return co_await runOnce(std::move(request), deadline);
+    }
+
+    /**
+     * @brief Replaces the set of zones that get no new work; may be called from any thread.
+     * @param zones Zones out of service.
+     */
+    void setZonesOut(ZoneSet zones) { m_calls.setZonesOut(std::move(zones)); }
+
+    /**
+     * @brief Counts claim rows that wait until the table takes them.
+     * @return Number of rows.
+     */
+    [[nodiscard]] std::size_t pendingCompletions() const { return m_claimed.pendingCompletions(); }
+
+private:
+    using Calls = ExecutorCalls<DispatcherType, Policy, TimingType>;
+
+    [[nodiscard]] Awaitable<ClientAnswer> runOnce(ClientRequest request, TimePoint deadline)
+    {
+        const auto lease = m_calls.choose({});
+        if (!lease.node())
+            co_return notRunAnswer(503, "no executor is available", std::chrono::seconds { 1 });
+        const auto left = deadline - m_timing.now();
+        auto result = co_await m_calls.call(lease.node(), request, left);
+        if (result.outcome == Outcome::done)
+            co_return doneAnswer(result.status, std::move(result.body));
+        if (result.outcome == Outcome::notRun)
+            co_return notRunAnswer(503, std::move(result.reason), std::chrono::seconds { 1 });
+        co_return unknownAnswer(std::move(result.reason));
+    }
+
+    TimingType m_timing;
+    RetryBudget m_budget;
+    Calls m_calls;
+    ClaimedRunner<TableType, Calls, TimingType> m_claimed;
+};
+
+}
--- a/src/lycheespool/wire/messages.h
+++ b/src/lycheespool/wire/messages.h
@@ -30,7 +30,11 @@
     std::uint32_t task { 0 };
     std::string state;
     std::string detail;
-    MSGPACK_DEFINE(job, attempt, task, state, detail)
+    /*! @brief Work done so far, in milliseconds of run time at full speed. */
+    std::uint64_t progressMs { 0 };
+    /*! @brief Work that the last checkpoint saved. */
+    std::uint64_t checkpointMs { 0 };
+    MSGPACK_DEFINE(job, attempt, task, state, detail, progressMs, checkpointMs)
 };
 
 /*! @brief First message of an agent: announces its endpoint. */
@@ -69,7 +73,9 @@
     std::uint32_t slotsFree { 0 };
     bool draining { false };
     std::vector<TaskReport> tasks;
-    MSGPACK_DEFINE(incarnation, sequence, slotsFree, draining, tasks)
+    /*! @brief Whether tasks lists every task of the worker, so that a task that is absent does not run. */
+    bool complete { false };
+    MSGPACK_DEFINE(incarnation, sequence, slotsFree, draining, tasks, complete)
 };
 
 /*! @brief Answer to Heartbeat. */
@@ -140,8 +146,12 @@
     std::uint32_t acceleratorsPerTask { 0 };
     std::uint64_t runTimeMs { 0 };
     Revision revision;
+    /*! @brief Work that the tasks resume from when they start, in milliseconds of run time at full speed. */
+    std::uint64_t progressMs { 0 };
+    /*! @brief New speed for throttle, in percent of full speed. */
+    std::uint32_t speedPercent { 100 };
     MSGPACK_DEFINE(epoch, incarnation, kind, job, attempt, tasks, coresPerTask, memoryMiBPerTask, acceleratorsPerTask,
-        runTimeMs, revision)
+        runTimeMs, revision, progressMs, speedPercent)
 };
 
 /*! @brief Answer to Order. */
@@ -150,7 +160,9 @@
 
     bool accepted { false };
     std::string reason;
-    MSGPACK_DEFINE(accepted, reason)
+    /*! @brief Answer to checkpoint: least progress that is saved for the tasks of the order. */
+    std::uint64_t progressMs { 0 };
+    MSGPACK_DEFINE(accepted, reason, progressMs)
 };
 
 /*! @brief The endpoint leaves and takes no new work. */
@@ -169,8 +181,41 @@
     MSGPACK_DEFINE(known)
 };
 
+/*! @brief What an agent knows about a non-idempotent request of its present incarnation. */
+enum class ExecutionState : std::uint8_t {
+    /*! @brief The executor has the request and has not answered yet. */
+    running,
+    /*! @brief The executor answered; the answer is in the reply. */
+    done,
+    /*! @brief The agent cannot tell: another incarnation, an answer it dropped, or no room for a tombstone. */
+    notSeen,
+    /*! @brief The request did not run, and this incarnation never runs it any more. */
+    tombstoned,
+};
+
+/*! @brief Asks an agent what became of a request; a request that it never saw is tombstoned. */
+struct Inquire {
+    static constexpr auto type = MessageType::inquire;
+
+    std::string key;
+    Incarnation incarnation;
+    MSGPACK_DEFINE(key, incarnation)
+};
+
+/*! @brief Answer to Inquire. */
+struct InquireReply {
+    static constexpr auto type = MessageType::inquireReply;
+
+    Incarnation incarnation;
+    ExecutionState state { ExecutionState::notSeen };
+    std::uint32_t status { 0 };
+    std::string body;
+    MSGPACK_DEFINE(incarnation, state, status, body)
+};
+
 }
 
 MSGPACK_ADD_ENUM(lycheespool::EndpointKind);
 MSGPACK_ADD_ENUM(lycheespool::Outcome);
 MSGPACK_ADD_ENUM(lycheespool::OrderKind);
+MSGPACK_ADD_ENUM(lycheespool::ExecutionState);
