Validate the whole document and check who may edit a section

Cause: an edit must not make the document contradict itself, break another workspace's guarantee unnoticed, or come from somebody else's team. Ruled out: refusing every edit while a guarantee is impossible, because a lost worker would then prevent the zone drain that deals with it; only the findings that an edit causes count against it. Change: permissions per section, findings for unknown zones, exceeded limits and guarantees beyond the capacity, an override for warnings, and a capacity check as a function that the caller passes in. Conclusion: a guarantee beyond the whole capacity is refused; one that only zones out of service prevent needs an explicit override.

--- a/src/lycheespool/document/document_store.h
+++ b/src/lycheespool/document/document_store.h
@@ -151,7 +151,7 @@
                 auto result = co_await resolveBase(edit, current.record);
                 co_return result;
             }
-            prepared = prepareEdit(stored, edit, m_process);
+            prepared = prepareEdit(stored, edit, m_process, m_policy.capacity);
         } catch (const Error& error) {
             failure = error;
         }
--- a/src/lycheespool/document/prepared_edit.cpp
+++ b/src/lycheespool/document/prepared_edit.cpp
@@ -2,8 +2,9 @@
 
 #include "lycheespool/document/document_digest.h"
 #include "lycheespool/document/document_keys.h"
+#include "lycheespool/document/permission.h"
 #include "lycheespool/document/record_codec.h"
-#include "lycheespool/document/section_parser.h"
+#include "lycheespool/document/validation.h"
 
 #include <fmt/format.h>
 
@@ -69,6 +70,22 @@
     return changed;
 }
 
+/*! @brief Rejects an edit because of what it would cause; errors come before warnings. */
+std::optional<EditResult> rejectedFor(const Edit& edit, const Findings& findings)
+{
+    const auto isError = [](const Finding& it) { return it.severity == FindingSeverity::error; };
+    auto first = std::ranges::find_if(findings, isError);
+    const auto status = first != findings.end() ? EditStatus::refused : EditStatus::needsOverride;
+    if (status == EditStatus::needsOverride)
+        first = findings.begin();
+    if (first == findings.end() || (status == EditStatus::needsOverride && edit.overrideWarnings))
+        return std::nullopt;
+    const auto message = fmt::format("section {}: {}", first->section.value(), first->message);
+    auto result = rejected(edit, status, { ErrorKind::invalidArgument, message, "nothing was written" });
+    result.findings = findings;
+    return result;
+}
+
 }
 
 EditResult rejected(const Edit& edit, EditStatus status, Error error)
@@ -80,18 +97,26 @@
     return result;
 }
 
-PreparedEdit prepareEdit(const StoredDocument& stored, const Edit& edit, const EntryId& process)
+PreparedEdit prepareEdit(
+    const StoredDocument& stored, const Edit& edit, const EntryId& process, const CapacityCheck& capacity)
 {
+    Findings findings;
     try {
         checkForm(edit);
-        static_cast<void>(withEdit(stored, edit).parse());
+        const auto before = stored.parse();
+        const auto after = withEdit(stored, edit).parse();
+        checkPermission(before, after, edit.section, edit.author);
+        findings = causedBy(validate(before, capacity), validate(after, capacity), edit.section);
     } catch (const Error& error) {
         return { rejected(edit, EditStatus::refused, error), std::nullopt };
     }
+    if (auto result = rejectedFor(edit, findings))
+        return { *result, std::nullopt };
     PreparedEdit prepared;
     prepared.transaction = newTransaction(stored, edit, process);
     prepared.result.status = EditStatus::accepted;
     prepared.result.revision = Revision { stored.head.revision.value() + 1 };
+    prepared.result.findings = std::move(findings);
     prepared.result.ticket = { edit.section, edit.token, edit.base, stored.headVersion };
     return prepared;
 }
--- a/src/lycheespool/document/prepared_edit.h
+++ b/src/lycheespool/document/prepared_edit.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "lycheespool/document/capacity_check.h"
 #include "lycheespool/document/edit.h"
 #include "lycheespool/document/edit_result.h"
 #include "lycheespool/document/stored_document.h"
@@ -21,9 +22,11 @@
  * @param stored The document.
  * @param edit The edit.
  * @param process Process that accepts the edit.
+ * @param capacity Compares guarantees with the capacity; may be empty.
  * @return The transaction, or the reason why there is none.
  */
-[[nodiscard]] PreparedEdit prepareEdit(const StoredDocument& stored, const Edit& edit, const EntryId& process);
+[[nodiscard]] PreparedEdit prepareEdit(
+    const StoredDocument& stored, const Edit& edit, const EntryId& process, const CapacityCheck& capacity);
 
 /**
  * @brief Makes the answer to an edit that is not accepted.
