Bring the document into effect in entries and agents; add operator commands

Cause: document, scheduler and request path were not connected, so taking a zone out had no effect. Ruled out: two functions named digestOf in two modules, which would have been one symbol with two meanings; the request module's is bodyDigestOf now.

--- a/src/lycheespool/entry/agent_directory.cpp
+++ b/src/lycheespool/entry/agent_directory.cpp
@@ -32,6 +32,18 @@
     return it == m_agents.end() ? std::nullopt : std::optional { it->second.hello };
 }
 
+std::vector<WorkerGroup> AgentDirectory::workers() const
+{
+    const std::scoped_lock lock { m_mutex };
+    std::vector<WorkerGroup> groups;
+    for (const auto& [id, agent] : m_agents) {
+        const auto& hello = agent.hello;
+        if (hello.kind == EndpointKind::worker)
+            groups.push_back({ hello.zone, hello.rack, 1, hello.cores, hello.memoryMiB, hello.accelerators });
+    }
+    return groups;
+}
+
 Awaitable<OrderReply> AgentDirectory::send(const AgentId& agent, Order order, Duration timeout)
 {
     std::shared_ptr<RpcConnection> connection;
--- a/src/lycheespool/entry/agent_directory.h
+++ b/src/lycheespool/entry/agent_directory.h
@@ -2,6 +2,7 @@
 
 #include "lycheespool/core/clock.h"
 #include "lycheespool/core/ids.h"
+#include "lycheespool/document/worker_group.h"
 #include "lycheespool/net/rpc_connection.h"
 #include "lycheespool/wire/messages.h"
 
@@ -9,6 +10,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <vector>
 
 namespace lycheespool {
 
@@ -42,6 +44,12 @@
      */
     [[nodiscard]] std::optional<Hello> find(const RpcConnection* connection) const;
 
+    /**
+     * @brief Lists the workers of the connected agents.
+     * @return One group for each worker.
+     */
+    [[nodiscard]] std::vector<WorkerGroup> workers() const;
+
     /**
      * @brief Sends an order; a model of OrderChannel.
      * @param agent Receiver.
--- /dev/null
+++ b/src/lycheespool/entry/document_api.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include "lycheespool/core/error.h"
+#include "lycheespool/document/document_store.h"
+#include "lycheespool/entry/document_json.h"
+#include "lycheespool/net/http_message.h"
+#include "lycheespool/net/http_server.h"
+#include "lycheespool/store/table.h"
+
+#include <functional>
+#include <string>
+#include <utility>
+
+namespace lycheespool {
+
+/**
+ * @brief Operators' calls for the document: show, edit, ask for the outcome of an edit.
+ * @tparam TableType Model of Table.
+ */
+template <Table TableType>
+class DocumentApi {
+public:
+    /*! @brief Called after an edit was accepted, so that this entry takes it in at once. */
+    using AcceptedHandler = std::function<Awaitable<>()>;
+
+    /**
+     * @brief Makes the API.
+     * @param table Table service.
+     * @param entry Name of this entry, for the audit trail.
+     * @param policy Attempts and capacity check.
+     * @param accepted Called after an edit was accepted.
+     */
+    DocumentApi(TableType& table, EntryId entry, EditPolicy policy, AcceptedHandler accepted)
+        : m_store { table, std::move(entry), std::move(policy) }
+        , m_accepted { std::move(accepted) }
+    {
+    }
+
+    /**
+     * @brief Answers a call under `/v1/document`.
+     * @param request HTTP request.
+     * @param rest Path after `/v1/document`.
+     * @return The response.
+     * @throws Error of kind notFound, invalidArgument, unavailable or outcomeUnknown.
+     */
+    [[nodiscard]] Awaitable<HttpResponse> serve(HttpRequest request, std::string rest)
+    {
+        if (rest.empty() && request.method == "GET")
+            co_return co_await showAll();
+        if (rest == "/outcome" && request.method == "GET")
+            co_return co_await showOutcome(std::move(request));
+        constexpr std::string_view prefix = "/sections/";
+        if (rest.starts_with(prefix)) {
+            SectionId section { rest.substr(prefix.size()) };
+            (void)kindOf(section);
+            if (request.method == "GET")
+                co_return co_await show(std::move(section));
+            if (request.method == "PUT")
+                co_return co_await edit(std::move(section), std::move(request));
+        }
+        throw Error { ErrorKind::notFound, "no resource for " + request.method + " " + request.path,
+            "see docs/api.md for the calls" };
+    }
+
+private:
+    [[nodiscard]] Awaitable<HttpResponse> showAll()
+    {
+        const auto stored = co_await m_store.read();
+        co_return DocumentJson::write(stored);
+    }
+
+    [[nodiscard]] Awaitable<HttpResponse> show(SectionId section)
+    {
+        const auto stored = co_await m_store.read();
+        co_return DocumentJson::write(stored.find(section));
+    }
+
+    [[nodiscard]] Awaitable<HttpResponse> edit(SectionId section, HttpRequest request)
+    {
+        auto wanted = DocumentJson::readEdit(std::move(section), std::move(request));
+        auto result = co_await m_store.apply(std::move(wanted));
+        co_return co_await answer(std::move(result));
+    }
+
+    [[nodiscard]] Awaitable<HttpResponse> showOutcome(HttpRequest request)
+    {
+        auto ticket = DocumentJson::readTicket(request);
+        auto result = co_await m_store.outcome(std::move(ticket));
+        co_return co_await answer(std::move(result));
+    }
+
+    [[nodiscard]] Awaitable<HttpResponse> answer(EditResult result)
+    {
+        if (result.status == EditStatus::accepted)
+            co_await m_accepted();
+        co_return DocumentJson::write(result);
+    }
+
+    DocumentStore<TableType> m_store;
+    AcceptedHandler m_accepted;
+};
+
+}
--- /dev/null
+++ b/src/lycheespool/entry/document_json.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "lycheespool/document/edit.h"
+#include "lycheespool/document/edit_result.h"
+#include "lycheespool/document/stored_document.h"
+#include "lycheespool/net/http_message.h"
+
+namespace lycheespool {
+
+/*! @brief HTTP form of the document and of its edits. */
+struct DocumentJson {
+    /**
+     * @brief Reads an edit.
+     * @param section Section from the path.
+     * @param request Body with the new text; `If-Match` with the revision that the editor saw, `From` with the
+     * operator, `Idempotency-Key` with the edit's token, parameter `override`.
+     * @return The edit.
+     * @throws Error of kind invalidArgument that names what is missing.
+     */
+    [[nodiscard]] static Edit readEdit(SectionId section, HttpRequest&& request);
+
+    /**
+     * @brief Reads a question for the outcome of an edit.
+     * @param request Parameters `section`, `token`, `base` and `headVersion`.
+     * @return The ticket.
+     * @throws Error of kind invalidArgument that names what is missing.
+     */
+    [[nodiscard]] static EditTicket readTicket(const HttpRequest& request);
+
+    [[nodiscard]] static HttpResponse write(const StoredDocument& document);
+    [[nodiscard]] static HttpResponse write(const StoredSection& section);
+    /**
+     * @brief Writes the answer to an edit.
+     * @param result The answer.
+     * @return 200 when accepted, 409 on a conflict, 400 or 403 when refused, 422 when an override is needed, 503 when
+     * not accepted, 504 when the outcome is unknown.
+     */
+    [[nodiscard]] static HttpResponse write(const EditResult& result);
+};
+
+}
--- a/src/lycheespool/entry/entry_process.cpp
+++ b/src/lycheespool/entry/entry_process.cpp
@@ -2,18 +2,25 @@
 
 #include "lycheespool/core/error.h"
 #include "lycheespool/core/log.h"
+#include "lycheespool/document/cluster_capacity.h"
+#include "lycheespool/document/freshness.h"
 #include "lycheespool/entry/request_api.h"
 #include "lycheespool/net/sleep.h"
 
 #include <nlohmann/json.hpp>
 
+#include <random>
+
 namespace lycheespool {
 
 namespace {
 
 constexpr std::string_view workspacePrefix = "/v1/workspaces/";
 constexpr std::string_view jobPrefix = "/v1/jobs/";
-constexpr Duration headReadInterval = std::chrono::seconds { 1 };
+constexpr std::string_view documentPrefix = "/v1/document";
+// Keeps the time to force of a change below 1 s together with the heartbeat interval of agents; costs 2.5 table reads
+// a second for each entry.
+constexpr Duration documentReadInterval = std::chrono::milliseconds { 400 };
 
 SchedulerSettings schedulerSettings(const EntrySettings& settings)
 {
@@ -28,6 +35,16 @@
     return response;
 }
 
+nlohmann::json describeDocument(const DocumentState& state, TimePoint now)
+{
+    auto zones = nlohmann::json::array();
+    if (state.document) {
+        for (const auto& it : state.document->zones.zones)
+            zones.push_back({ { "zone", it.id.value() }, { "inService", it.inService }, { "reason", it.reason } });
+    }
+    return { { "revision", state.head.revision.value() }, { "fresh", state.isFresh(now) }, { "zones", zones } };
+}
+
 Error unknownPath(const HttpRequest& request)
 {
     return { ErrorKind::notFound, "no resource for " + request.method + " " + request.path,
@@ -49,6 +66,8 @@
         [this](const auto& connection) { forget(connection); } }
     , m_http { pool, m_settings.http, metrics, [this](HttpRequest request) { return serve(std::move(request)); } }
     , m_registry { m_table, m_settings.id, m_rpc.address() }
+    , m_watcher { m_table, m_document, metrics, m_clock }
+    , m_documentApi { m_table, m_settings.id, editPolicy(), [this] { return readDocument(); } }
 {
     addProcessGauges(metrics);
 }
@@ -58,7 +77,7 @@
     m_rpc.start();
     m_http.start();
     asio::co_spawn(m_pool.context(), m_registry.run(), asio::detached);
-    asio::co_spawn(m_pool.context(), watchHead(), asio::detached);
+    asio::co_spawn(m_pool.context(), watchDocument(), asio::detached);
     m_scheduler.start();
     log(LogLevel::info, "entry {} serves clients on {} and agents on {}", m_settings.id.value(),
         httpAddress().toString(), rpcAddress().toString());
@@ -80,6 +99,10 @@
         co_return co_await serveWorkspace(std::move(request));
     if (request.path.starts_with(jobPrefix))
         co_return co_await serveJob(std::move(request));
+    if (request.path.starts_with(documentPrefix)) {
+        auto rest = request.path.substr(documentPrefix.size());
+        co_return co_await m_documentApi.serve(std::move(request), std::move(rest));
+    }
     if (request.path == "/healthz")
         co_return text("ok\n");
     if (request.path == "/readyz") {
@@ -120,28 +143,61 @@
     throw unknownPath(request);
 }
 
-Awaitable<> EntryProcess::watchHead()
+Awaitable<> EntryProcess::watchDocument()
 {
     while (!m_draining) {
-        const auto sent = SteadyClock {}.now();
-        try {
-            co_await m_table.get("document/head");
-            m_headReadSent = sent.time_since_epoch().count();
-        } catch (const Error&) {
-            m_metrics.counter("document_read_failures_total").add();
-        }
-        co_await sleepFor(headReadInterval);
+        const auto next = m_clock.now() + documentReadInterval;
+        co_await readDocument();
+        co_await sleepFor(next - m_clock.now());
     }
 }
 
-Freshness EntryProcess::freshness() const
+Awaitable<> EntryProcess::readDocument()
 {
-    const auto age = SteadyClock {}.now().time_since_epoch() - TimePoint::duration { m_headReadSent.load() };
-    Freshness freshness;
-    freshness.ageMs = static_cast<std::uint64_t>(std::chrono::ceil<std::chrono::milliseconds>(age).count());
-    return freshness;
+    try {
+        const bool newer = co_await m_watcher.poll();
+        if (newer)
+            log(LogLevel::info, "document revision {} in effect", m_document.state()->head.revision.value());
+    } catch (const Error& error) {
+        m_metrics.counter("document_read_failures_total").add();
+        if (error.kind() != ErrorKind::unavailable)
+            log(LogLevel::error, "document cannot be used: {}", error.what());
+    }
+    asio::post(m_pool.context(), [this] { applyDocument(); });
 }
 
+void EntryProcess::applyDocument()
+{
+    const auto state = m_document.state();
+    if (!state->document || state->head.revision <= m_applied)
+        return;
+    m_applied = state->head.revision;
+    const auto zones = state->document->zonesOut();
+    m_requests.setZonesOut(ZoneSet { zones.begin(), zones.end() });
+    m_scheduler.post([zones, revision = m_applied](
+                         auto& scheduler) { scheduler.setZonesOut(zones, revision, SteadyClock {}.now()); });
+}
+
+EditPolicy EntryProcess::editPolicy()
+{
+    EditPolicy policy;
+    policy.retryDelay = [](unsigned attempt) -> Duration {
+        thread_local std::minstd_rand random { std::random_device {}() };
+        std::uniform_int_distribution<int> milliseconds { 1, 20 };
+        return std::chrono::milliseconds { milliseconds(random) * static_cast<int>(attempt) };
+    };
+    policy.capacity = [this](const Document& document) -> std::vector<ImpossibleGuarantee> {
+        auto workers = m_agents.workers();
+        // Without any known worker the capacity is not known either, as after a restart of everything.
+        if (workers.empty())
+            return {};
+        return checkAgainst(std::move(workers))(document);
+    };
+    return policy;
+}
+
+Freshness EntryProcess::freshness() const { return toFreshness(*m_document.state(), m_clock.now()); }
+
 HttpResponse EntryProcess::status() const
 {
     auto executors = nlohmann::json::array();
@@ -152,7 +208,8 @@
     HttpResponse response;
     response.body = nlohmann::json {
         { "entry", m_settings.id.value() }, { "entries", m_registry.entries() }, { "tableDown", m_table.isDown() },
-        { "leader", m_scheduler.isLeader() }, { "executors", executors }
+        { "leader", m_scheduler.isLeader() }, { "document", describeDocument(*m_document.state(), m_clock.now()) },
+        { "executors", executors }
     }.dump(2);
     response.body += '\n';
     return response;
--- a/src/lycheespool/entry/entry_process.h
+++ b/src/lycheespool/entry/entry_process.h
@@ -1,7 +1,10 @@
 #pragma once
 
 #include "lycheespool/core/metrics.h"
+#include "lycheespool/document/document_cache.h"
+#include "lycheespool/document/document_watcher.h"
 #include "lycheespool/entry/agent_directory.h"
+#include "lycheespool/entry/document_api.h"
 #include "lycheespool/entry/entry_registry.h"
 #include "lycheespool/entry/entry_settings.h"
 #include "lycheespool/entry/job_api.h"
@@ -54,7 +57,10 @@
     [[nodiscard]] Awaitable<HttpResponse> serveWorkspace(HttpRequest request);
     [[nodiscard]] Awaitable<HttpResponse> serveJob(HttpRequest request);
     [[nodiscard]] HttpResponse status() const;
-    [[nodiscard]] Awaitable<> watchHead();
+    [[nodiscard]] Awaitable<> watchDocument();
+    [[nodiscard]] Awaitable<> readDocument();
+    void applyDocument();
+    [[nodiscard]] EditPolicy editPolicy();
     [[nodiscard]] Freshness freshness() const;
     void receive(const std::shared_ptr<RpcConnection>& connection, Envelope envelope);
     void receiveHello(const std::shared_ptr<RpcConnection>& connection, const Envelope& envelope);
@@ -74,7 +80,12 @@
     RpcServer m_rpc;
     HttpServer m_http;
     EntryRegistry<HttpTable> m_registry;
-    std::atomic<TimePoint::rep> m_headReadSent { 0 };
+    DocumentCache m_document;
+    SteadyClock m_clock;
+    DocumentWatcher<HttpTable> m_watcher;
+    DocumentApi<HttpTable> m_documentApi;
+    /*! @brief Revision that was passed on to request path and scheduler; used on the control thread. */
+    Revision m_applied;
     std::atomic<bool> m_draining { false };
 };
 
--- a/src/lycheespool/platform/worker_service.cpp
+++ b/src/lycheespool/platform/worker_service.cpp
@@ -73,6 +73,7 @@
 
     std::mutex mutex;
     WorkerModel model;
+    std::uint64_t started { 0 };
 };
 
 bool WorkerService::State::isFrozen()
@@ -88,6 +89,8 @@
     const auto now = SteadyClock {}.now();
     if (request.method == "GET" && request.path == "/v1/tasks")
         return respond(WorkerCodec::encode(model.list(now)));
+    if (request.method == "GET" && request.path == "/v1/executions")
+        return respond(R"({"total":)" + std::to_string(started) + "}");
     if (request.method == "POST" && request.path == "/v1/leases") {
         const auto ms = WorkerCodec::decodeNumber(request.body, "leaseMs");
         model.renew(std::chrono::milliseconds { std::min<std::uint64_t>(ms, 3'600'000) }, now);
@@ -109,6 +112,7 @@
     const auto action = parts.size() == 6 ? parts[5] : std::string_view {};
     if (request.method == "PUT" && parts.size() == 5) {
         model.start(WorkerCodec::decodeStart(key, request.body), now);
+        ++started;
         return respond("{}");
     }
     if (request.method == "DELETE" && parts.size() == 5) {
--- a/src/lycheespool/platform/worker_service.h
+++ b/src/lycheespool/platform/worker_service.h
@@ -13,7 +13,8 @@
  * @brief Emulated worker over HTTP/JSON; a model of the platform's task interface.
  *
  * `PUT /v1/tasks/<job>/<attempt>/<task>` starts, `POST .../checkpoint` and `POST .../throttle` act on a running task,
- * `DELETE` stops and forgets it, `GET /v1/tasks` lists, `POST /v1/leases` renews, `POST /v1/faults` switches faults.
+ * `DELETE` stops and forgets it, `GET /v1/tasks` lists, `GET /v1/executions` counts the starts, `POST /v1/leases`
+ * renews, `POST /v1/faults` switches faults.
  */
 class WorkerService {
 public:
--- a/src/lycheespool/request/body_digest.cpp
+++ b/src/lycheespool/request/body_digest.cpp
@@ -7,7 +7,7 @@
 
 namespace lycheespool {
 
-std::string digestOf(std::string_view body)
+std::string bodyDigestOf(std::string_view body)
 {
     const auto hash = XXH3_128bits(body.data(), body.size());
     return fmt::format("{:016x}{:016x}", hash.high64, hash.low64);
--- a/src/lycheespool/request/body_digest.h
+++ b/src/lycheespool/request/body_digest.h
@@ -10,6 +10,6 @@
  * @param body The body.
  * @return 128-bit xxHash in hexadecimal.
  */
-[[nodiscard]] std::string digestOf(std::string_view body);
+[[nodiscard]] std::string bodyDigestOf(std::string_view body);
 
 }
--- a/src/lycheespool/request/claimed_runner.h
+++ b/src/lycheespool/request/claimed_runner.h
@@ -116,7 +116,7 @@
         if (request.key.value().empty())
             co_return notRunAnswer(badRequest, "a non-idempotent request needs an idempotency key");
         Progress progress;
-        progress.digest = digestOf(request.body);
+        progress.digest = bodyDigestOf(request.body);
         progress.claim = co_await m_claims.open(request.workspace, request.key, progress.digest);
         for (unsigned i = 0; i < maxRounds && !progress.answer; ++i) {
             co_await settle(request, attempt, progress);
--- a/test/lycheespool/cli/job_path.cpp
+++ b/test/lycheespool/cli/job_path.cpp
@@ -29,7 +29,8 @@
     TestSystem system { 3, 1 };
     for (std::size_t i = 0; i < 3; ++i)
         system.startWorker(i);
-    const auto response = system.send(system.entryAddress(0), "POST", jobsTarget, jobBody(4, 1).dump(), { { "Idempotency-Key", "gang" } });
+    const auto response = system.send(
+        system.entryAddress(0), "POST", jobsTarget, jobBody(4, 1).dump(), { { "Idempotency-Key", "gang" } });
     CHECK(response.status == 202);
     TestSystem::waitFor("a leader knows three workers", [&] { return system.leaderOf(3).has_value(); });
     CHECK(stateOf(system, 1, "gang") == "queued");
@@ -56,7 +57,8 @@
     for (std::size_t i = 0; i < 2; ++i)
         system.startWorker(i);
     const auto target = system.entryAddress(0);
-    CHECK(system.send(target, "POST", jobsTarget, jobBody(2, 20).dump(), { { "Idempotency-Key", "long" } }).status == 202);
+    CHECK(system.send(target, "POST", jobsTarget, jobBody(2, 20).dump(), { { "Idempotency-Key", "long" } }).status
+        == 202);
     TestSystem::waitFor("the gang runs", [&] { return system.runningTasks() == 2; });
     const auto leader = system.leaderOf(2);
     REQUIRE(leader);
--- a/test/lycheespool/cli/test_system.cpp
+++ b/test/lycheespool/cli/test_system.cpp
@@ -5,6 +5,7 @@
 #include <doctest/doctest.h>
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <atomic>
 #include <future>
 #include <thread>
@@ -115,6 +116,44 @@
     return { total, duplicates };
 }
 
+void TestSystem::startWorker(std::size_t index)
+{
+    const auto address = workerAddress(index).toString();
+    m_workers.push_back(std::make_unique<ChildProcess>(std::vector<std::string> { "worker", "--http", address }));
+    m_workerAgents.push_back(std::make_unique<ChildProcess>(std::vector<std::string> { "agent", "--kind", "worker",
+        "--id", fmt::format("worker-{}", index + 1), "--zone", zones[0], "--rack", fmt::format("rack-{}", index / 3),
+        "--http", host(60 + index) + ":8082", "--endpoint", address, "--entries", host(10) + ":8081" }));
+}
+
+std::optional<std::size_t> TestSystem::leaderOf(std::size_t entries)
+{
+    for (std::size_t i = 0; i < entries; ++i) {
+        if (status(i)["leader"].get<bool>())
+            return i;
+    }
+    return std::nullopt;
+}
+
+std::size_t TestSystem::runningTasks()
+{
+    std::size_t running = 0;
+    for (std::size_t i = 0; i < m_workers.size(); ++i) {
+        const auto tasks = nlohmann::json::parse(send(workerAddress(i), "GET", "/v1/tasks").body);
+        running += static_cast<std::size_t>(
+            std::ranges::count_if(tasks, [](const auto& it) { return it.at("state") == "running"; }));
+    }
+    return running;
+}
+
+std::uint64_t TestSystem::startedTasks()
+{
+    std::uint64_t started = 0;
+    for (std::size_t i = 0; i < m_workers.size(); ++i)
+        started += nlohmann::json::parse(send(workerAddress(i), "GET", "/v1/executions").body)["total"]
+                       .get<std::uint64_t>();
+    return started;
+}
+
 void TestSystem::setTableFaults(const std::string& json) { (void)send({ host(9), 8090 }, "POST", "/v1/faults", json); }
 
 }
--- a/test/lycheespool/cli/test_system.h
+++ b/test/lycheespool/cli/test_system.h
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -32,10 +33,23 @@
     /*! @brief Executions that all emulated executors counted: total and keys that ran twice. */
     std::pair<std::uint64_t, std::uint64_t> executions();
 
+    /*! @brief Starts a worker and its agent, in the first zone. */
+    void startWorker(std::size_t index);
+
+    /*! @brief Entry that leads among the first ones. */
+    std::optional<std::size_t> leaderOf(std::size_t entries);
+
+    /*! @brief Tasks that run on all workers. */
+    std::size_t runningTasks();
+
+    /*! @brief Tasks that were started on all workers since the beginning. */
+    std::uint64_t startedTasks();
+
     /*! @brief Switches faults of the table service. */
     void setTableFaults(const std::string& json);
 
     [[nodiscard]] Address entryAddress(std::size_t index) const { return { host(10 + index), 8080 }; }
+    [[nodiscard]] Address workerAddress(std::size_t index) const { return { host(60 + index), 8100 }; }
     [[nodiscard]] Address executorAddress(std::size_t index) const { return { host(30 + index), 8100 }; }
     [[nodiscard]] ChildProcess& entry(std::size_t index) { return *m_entries[index]; }
     [[nodiscard]] ChildProcess& agent(std::size_t index) { return *m_agents[index]; }
@@ -57,6 +71,8 @@
     std::vector<std::unique_ptr<ChildProcess>> m_entries;
     std::vector<std::unique_ptr<ChildProcess>> m_executors;
     std::vector<std::unique_ptr<ChildProcess>> m_agents;
+    std::vector<std::unique_ptr<ChildProcess>> m_workers;
+    std::vector<std::unique_ptr<ChildProcess>> m_workerAgents;
 };
 
 }
--- a/test/lycheespool/request/request_path.cpp
+++ b/test/lycheespool/request/request_path.cpp
@@ -152,7 +152,7 @@
 {
     TestCluster cluster { 1, 1 };
     ClaimRow row;
-    row.digest = digestOf("body");
+    row.digest = bodyDigestOf("body");
     CHECK(cluster.rows.commit({ {}, { { "claim/w/k", encodeClaim(row) } } }).committed);
     CHECK(cluster.ask(0, onceRequest("k")).outcome == Outcome::done);
 }
