--- a/src/lycheespool/document/document_store.h
+++ b/src/lycheespool/document/document_store.h
@@ -69,6 +69,35 @@
         co_return rejected(edit, EditStatus::notAccepted, tooManyChanges());
     }
 
+    /**
+     * @brief Applies an edit that writes an older text of the section as a new revision.
+     * @param edit The edit; its text and schema are replaced.
+     * @param revision Revision of the section whose text is written.
+     * @return The answer, as from apply(); refused when the section has no such revision.
+     * @throws Error of kind internal when a row cannot be decoded.
+     */
+    [[nodiscard]] Awaitable<EditResult> restore(Edit edit, Revision revision)
+    {
+        std::optional<Error> failure;
+        try {
+            auto record = co_await m_reader.readHistory(revision);
+            if (record.section.content.section != edit.section)
+                throw noRevision(edit.section, revision);
+            edit.text = record.section.content.text;
+            edit.schema = record.section.content.schema;
+        } catch (const Error& error) {
+            failure = error;
+        }
+        if (failure && failure->kind() == ErrorKind::unavailable)
+            co_return rejected(edit, EditStatus::notAccepted, *failure);
+        if (failure && failure->kind() == ErrorKind::notFound)
+            co_return rejected(edit, EditStatus::refused, *failure);
+        if (failure)
+            throw *failure;
+        auto result = co_await apply(std::move(edit));
+        co_return result;
+    }
+
     /**
      * @brief Finds out whether an edit was accepted, and prevents it from taking effect later if it was not.
      * @param ticket Ticket of the edit.
@@ -94,10 +123,9 @@
             retryRemedy };
     }
 
-    [[nodiscard]] static Error noRevision(const Edit& edit)
+    [[nodiscard]] static Error noRevision(const SectionId& section, Revision revision)
     {
-        return { ErrorKind::notFound,
-            fmt::format("section {} has no revision {}", edit.section.value(), edit.base.value()),
+        return { ErrorKind::notFound, fmt::format("section {} has no revision {}", section.value(), revision.value()),
             "read the section and edit its present text" };
     }
 
@@ -200,7 +228,7 @@
     [[nodiscard]] Awaitable<EditResult> resolveBase(const Edit& edit, const SectionRecord& current)
     {
         if (edit.base > current.revision)
-            throw noRevision(edit);
+            throw noRevision(edit.section, edit.base);
         EditTicket ticket { edit.section, edit.token, edit.base, 0 };
         auto record = co_await m_reader.findEdit(ticket);
         if (!record) {
@@ -223,7 +251,7 @@
         if (edit.base != Revision {}) {
             auto base = co_await m_reader.readHistory(edit.base);
             if (base.section.content.section != edit.section)
-                throw noRevision(edit);
+                throw noRevision(edit.section, edit.base);
             conflict.baseText = base.section.content.text;
         }
         conflict.theirText = current.content.text;
