Retry idempotent requests within a budget

Cause: an idempotent request failed with its first executor although others were free. Ruled out: a fixed number of retries per request, because it multiplies the load when everything fails.

--- a/src/lycheespool/request/claimed_runner.h
+++ b/src/lycheespool/request/claimed_runner.h
@@ -205,7 +205,7 @@
     [[nodiscard]] Awaitable<> dispatch(const ClientRequest& request, AttemptType& attempt, Progress& progress)
     {
         const auto executor = co_await asio::this_coro::executor;
-        if (progress.dispatches > 0 && !m_budget.withdraw()) {
+        if (progress.dispatches > 0 && (!Calls::retries || !m_budget.withdraw())) {
             giveBack(progress, executor);
             progress.answer
                 = notRunAnswer(serviceUnavailable, "the executor did not run the request", executorRetryAfter);
--- a/src/lycheespool/request/executor_calls.h
+++ b/src/lycheespool/request/executor_calls.h
@@ -24,6 +24,9 @@
 template <Dispatcher DispatcherType, RoutingPolicy Policy, Timing TimingType>
 class ExecutorCalls {
 public:
+    /*! @brief Tells whether requests are sent to another executor after a failure. */
+    static constexpr bool retries = Policy::retries;
+
     /**
      * @brief Makes the calls of one entry.
      * @param zone Zone of the entry.
--- a/src/lycheespool/request/request_path.h
+++ b/src/lycheespool/request/request_path.h
@@ -5,6 +5,7 @@
 #include "lycheespool/request/client_answer.h"
 #include "lycheespool/request/client_request.h"
 #include "lycheespool/request/executor_calls.h"
+#include "lycheespool/request/idempotent_runner.h"
 #include "lycheespool/request/membership.h"
 #include "lycheespool/request/power_of_two.h"
 #include "lycheespool/request/retry_budget.h"
@@ -45,6 +46,7 @@
         DispatcherType dispatcher = {}, TimingType timing = {})
         : m_timing { std::move(timing) }
         , m_calls { std::move(zone), membership, metrics, std::move(dispatcher), m_timing }
+        , m_idempotent { m_calls, m_budget, metrics, m_timing }
         , m_claimed { std::move(entry), table, m_calls, m_budget, metrics, m_timing }
     {
     }
@@ -60,7 +62,7 @@
         const auto deadline = m_timing.now() + request.timeout;
         if (!request.idempotent)
             co_return co_await m_claimed.run(std::move(request), deadline);
-        co_return co_await runOnce(std::move(request), deadline);
+        co_return co_await m_idempotent.run(std::move(request), deadline);
     }
 
     /**
@@ -78,23 +80,10 @@
 private:
     using Calls = ExecutorCalls<DispatcherType, Policy, TimingType>;
 
-    [[nodiscard]] Awaitable<ClientAnswer> runOnce(ClientRequest request, TimePoint deadline)
-    {
-        const auto lease = m_calls.choose({});
-        if (!lease.node())
-            co_return notRunAnswer(503, "no executor is available", std::chrono::seconds { 1 });
-        const auto left = deadline - m_timing.now();
-        auto result = co_await m_calls.call(lease.node(), request, left);
-        if (result.outcome == Outcome::done)
-            co_return doneAnswer(result.status, std::move(result.body));
-        if (result.outcome == Outcome::notRun)
-            co_return notRunAnswer(503, std::move(result.reason), std::chrono::seconds { 1 });
-        co_return unknownAnswer(std::move(result.reason));
-    }
-
     TimingType m_timing;
     RetryBudget m_budget;
     Calls m_calls;
+    IdempotentRunner<Calls, TimingType> m_idempotent;
     ClaimedRunner<TableType, Calls, TimingType> m_claimed;
 };
 
