Admit requests by free slots with fair bounded queues

Cause: requests beyond the capacity were dispatched at once and failed late. Ruled out: a mutex around the queue, because the request path takes no lock; waiting until the deadline, because a refused client should go elsewhere in time; the rate of recent completions as drain rate, because it is too low after a quiet time. The drain rate is slots divided by the average time that a slot is held. Change: Admission with FairQueue, served by one thread at a time through Combiner; 429 beyond the bound of a workspace and priority, 503 otherwise, both with retry-after; a request waits for at most half of the time to its deadline.

--- a/src/lycheespool/request/fwd.h
+++ b/src/lycheespool/request/fwd.h
@@ -2,6 +2,7 @@
 
 namespace lycheespool {
 
+class Combiner;
 class ExecutionLedger;
 class KeyFilter;
 class Membership;
@@ -11,7 +12,9 @@
 class RetryBudget;
 class RoundRobin;
 class RpcDispatcher;
+class ServiceEstimate;
 class SteadyTiming;
+struct AdmissionLimits;
 struct CallResult;
 struct Claim;
 struct ClaimRow;
--- a/src/lycheespool/request/request_path.h
+++ b/src/lycheespool/request/request_path.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "lycheespool/core/metrics.h"
+#include "lycheespool/request/admission.h"
 #include "lycheespool/request/claimed_runner.h"
 #include "lycheespool/request/client_answer.h"
 #include "lycheespool/request/client_request.h"
@@ -13,6 +14,7 @@
 #include "lycheespool/request/timing.h"
 #include "lycheespool/store/table.h"
 
+#include <memory>
 #include <utility>
 
 namespace lycheespool {
@@ -41,16 +43,27 @@
      * @param metrics Registry for counters.
      * @param dispatcher Carries requests to agents.
      * @param timing Clock and timers.
+     * @param limits Bounds of the requests that wait for a slot.
      */
     RequestPath(EntryId entry, ZoneId zone, TableType& table, Membership& membership, Metrics& metrics,
-        DispatcherType dispatcher = {}, TimingType timing = {})
+        DispatcherType dispatcher = {}, TimingType timing = {}, AdmissionLimits limits = {})
         : m_timing { std::move(timing) }
         , m_calls { std::move(zone), membership, metrics, std::move(dispatcher), m_timing }
+        , m_admission { std::make_shared<Admission<TimingType>>(
+              [this] { return m_calls.capacity(); }, limits, metrics, m_timing) }
         , m_idempotent { m_calls, m_budget, metrics, m_timing }
         , m_claimed { std::move(entry), table, m_calls, m_budget, metrics, m_timing }
     {
     }
 
+    RequestPath(const RequestPath&) = delete;
+    RequestPath& operator=(const RequestPath&) = delete;
+
+    ~RequestPath() { close(); }
+
+    /*! @brief Refuses all waiting and coming requests; requests that run go on. */
+    void close() { m_admission->close(); }
+
     /**
      * @brief Runs a request.
      * @param request The request.
@@ -58,8 +71,11 @@
      */
     [[nodiscard]] Awaitable<ClientAnswer> execute(ClientRequest request)
     {
-        m_budget.deposit();
         const auto deadline = m_timing.now() + request.timeout;
+        auto admitted = co_await m_admission->enter(request.workspace, request.priority, deadline);
+        if (!admitted.ticket.isHeld())
+            co_return std::move(admitted.refusal);
+        m_budget.deposit();
         if (!request.idempotent)
             co_return co_await m_claimed.run(std::move(request), deadline);
         co_return co_await m_idempotent.run(std::move(request), deadline);
@@ -71,6 +87,12 @@
      */
     void setZonesOut(ZoneSet zones) { m_calls.setZonesOut(std::move(zones)); }
 
+    /**
+     * @brief Counts the requests that wait for a slot.
+     * @return Number of requests.
+     */
+    [[nodiscard]] std::size_t waiting() const { return m_admission->waiting(); }
+
     /**
      * @brief Counts claim rows that wait until the table takes them.
      * @return Number of rows.
@@ -83,6 +105,7 @@
     TimingType m_timing;
     RetryBudget m_budget;
     Calls m_calls;
+    std::shared_ptr<Admission<TimingType>> m_admission;
     IdempotentRunner<Calls, TimingType> m_idempotent;
     ClaimedRunner<TableType, Calls, TimingType> m_claimed;
 };
