Add a model that compares routing policies

Cause: the choice of the routing policy needs figures under slow and failing executors. Ruled out: a separate model of the policies, because the real request path runs in virtual time. Change: bench/request_policy.cpp; ManualTiming moves from the tests to the request module for it.

--- /dev/null
+++ b/bench/request_policy.cpp
@@ -0,0 +1,271 @@
+// Compares routing policies of the request path in an event-driven model: the real RequestPath runs in virtual time
+// against modelled executors. Prints Markdown tables; the figures are those of the model, not of a running system.
+
+#include "lycheespool/request/manual_timing.h"
+#include "lycheespool/request/power_of_two.h"
+#include "lycheespool/request/request_path.h"
+#include "lycheespool/request/round_robin.h"
+#include "lycheespool/store/emulated_table.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+using namespace lycheespool;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t executorCount = 11;
+constexpr std::uint32_t slotsEach = 8;
+constexpr Duration meanService = 50ms;
+constexpr Duration clientTimeout = 1s;
+constexpr Duration networkDelay = 500us;
+// The averages of latency and failures have settled by then.
+constexpr Duration warmUp = 3s;
+constexpr Duration measured = 10s;
+constexpr double slowdown = 10;
+constexpr std::array<unsigned, 5> seeds { 1, 2, 3, 4, 5 };
+constexpr std::array<double, 4> loads { 0.5, 1, 2, 5 };
+
+/*! @brief Which executors misbehave. */
+struct Scenario {
+    std::string name;
+    bool oneSlow { false };
+    bool oneFailing { false };
+
+    /*! @brief Requests per second that the executors can serve. */
+    [[nodiscard]] double capacity() const
+    {
+        const double each = slotsEach / std::chrono::duration<double> { meanService }.count();
+        const double healthy = static_cast<double>(executorCount) - (oneSlow ? 1 : 0) - (oneFailing ? 1 : 0);
+        return each * (healthy + (oneSlow ? 1 / slowdown : 0));
+    }
+};
+
+/*! @brief Modelled executors behind their agents; a model of Dispatcher. */
+class ModelExecutors {
+public:
+    ModelExecutors(ManualTiming timing, Scenario scenario, unsigned seed)
+        : m_timing { std::move(timing) }
+        , m_scenario { std::move(scenario) }
+        , m_random { std::make_shared<std::mt19937>(seed) }
+    {
+    }
+
+    [[nodiscard]] Awaitable<ExecuteReply> execute(ExecutorNodePtr node, Execute message, Duration timeout)
+    {
+        ExecuteReply reply;
+        reply.request = message.request;
+        reply.incarnation = message.incarnation;
+        reply.slotsFree = node->slots;
+        reply.outcome = Outcome::notRun;
+        ManualTiming::Timer timer { m_timing, co_await asio::this_coro::executor };
+        (void)co_await timer.wait(networkDelay * 2);
+        if (m_scenario.oneFailing && node->incarnation == Incarnation { 1 })
+            co_return reply;
+        const auto service = draw(m_scenario.oneSlow && node->incarnation == Incarnation { 2 });
+        (void)co_await timer.wait(std::min(service, timeout));
+        if (service > timeout)
+            throw Error { ErrorKind::outcomeUnknown, "no reply", "retry" };
+        reply.outcome = Outcome::done;
+        reply.status = 200;
+        co_return reply;
+    }
+
+    [[nodiscard]] Awaitable<InquireReply> inquire(ExecutorNodePtr, Inquire, Duration)
+    {
+        throw Error { ErrorKind::unavailable, "not modelled", "use idempotent requests" };
+        co_return InquireReply {};
+    }
+
+private:
+    Duration draw(bool slow)
+    {
+        std::exponential_distribution<double> length { 1 };
+        const auto factor = length(*m_random) * (slow ? slowdown : 1);
+        return Duration { static_cast<Duration::rep>(factor * static_cast<double>(Duration { meanService }.count())) };
+    }
+
+    ManualTiming m_timing;
+    Scenario m_scenario;
+    std::shared_ptr<std::mt19937> m_random;
+};
+
+/*! @brief Figures of one run. */
+struct Figures {
+    double goodput { 0 };
+    double p50 { 0 };
+    double p99 { 0 };
+    double p999 { 0 };
+    double amplification { 0 };
+    double failed { 0 };
+    double shed { 0 };
+};
+
+/*! @brief One run: clients with independent arrivals, one entry, all executors. */
+template <typename Policy>
+class Model {
+public:
+    Model(const Scenario& scenario, double load, unsigned seed)
+        : m_executors { m_timing, scenario, seed }
+        , m_random { seed + 1000 }
+        , m_rate { load * scenario.capacity() }
+        , m_capacity { scenario.capacity() }
+        , m_path { EntryId { "entry" }, ZoneId { "zone-0" }, m_table, m_membership, m_metrics, m_executors, m_timing }
+    {
+        for (std::size_t i = 0; i < executorCount; ++i)
+            join(i);
+    }
+
+    Figures run()
+    {
+        asio::co_spawn(m_context, arrive(), asio::detached);
+        asio::co_spawn(m_context, beat(), asio::detached);
+        while (m_timing.now() < TimePoint { warmUp + measured }) {
+            m_context.restart();
+            m_context.poll();
+            m_timing.advanceToNext();
+        }
+        return summarise();
+    }
+
+private:
+    void join(std::size_t index)
+    {
+        Hello hello;
+        hello.agent = AgentId { fmt::format("agent-{}", index) };
+        hello.incarnation = Incarnation { index };
+        hello.zone = ZoneId { fmt::format("zone-{}", index % 3) };
+        hello.slots = slotsEach;
+        m_membership.join(hello, nullptr, m_timing.now());
+    }
+
+    Awaitable<> beat()
+    {
+        ManualTiming::Timer timer { m_timing, co_await asio::this_coro::executor };
+        while (co_await timer.wait(500ms)) {
+            for (const auto& it : *m_membership.nodes().load())
+                it->lastHeard = m_timing.now().time_since_epoch().count();
+        }
+    }
+
+    Awaitable<> arrive()
+    {
+        const auto executor = co_await asio::this_coro::executor;
+        ManualTiming::Timer timer { m_timing, executor };
+        std::exponential_distribution<double> gap { m_rate };
+        while (true) {
+            const auto seconds = std::chrono::duration<double> { gap(m_random) };
+            (void)co_await timer.wait(std::chrono::duration_cast<Duration>(seconds));
+            asio::co_spawn(executor, request(), asio::detached);
+        }
+    }
+
+    Awaitable<> request()
+    {
+        ClientRequest request;
+        request.workspace = WorkspaceId { fmt::format("workspace-{}", m_random() % 4) };
+        request.timeout = clientTimeout;
+        const auto start = m_timing.now();
+        const auto answer = co_await m_path.execute(std::move(request));
+        if (m_timing.now() < TimePoint { warmUp })
+            co_return;
+        if (answer.outcome == Outcome::done)
+            m_latencies.push_back(std::chrono::duration<double, std::milli> { m_timing.now() - start }.count());
+        else if (answer.reason.find("agent") != std::string::npos || answer.outcome == Outcome::unknown)
+            ++m_failed;
+        else
+            ++m_shed;
+    }
+
+    double quantile(double share)
+    {
+        if (m_latencies.empty())
+            return 0;
+        const auto last = static_cast<double>(m_latencies.size() - 1);
+        const auto it = m_latencies.begin() + static_cast<std::ptrdiff_t>(share * last);
+        std::ranges::nth_element(m_latencies, it);
+        return *it;
+    }
+
+    Figures summarise()
+    {
+        const auto seconds = std::chrono::duration<double> { measured }.count();
+        const auto answered = static_cast<double>(m_latencies.size()) + m_failed + m_shed;
+        const auto dispatched = static_cast<double>(m_metrics.counter("requests_dispatched_total").value());
+        const auto retried = static_cast<double>(m_metrics.counter("requests_retried_total").value());
+        Figures figures;
+        figures.goodput = static_cast<double>(m_latencies.size()) / seconds / m_capacity;
+        figures.p50 = quantile(0.5);
+        figures.p99 = quantile(0.99);
+        figures.p999 = quantile(0.999);
+        figures.amplification = dispatched / (dispatched - retried);
+        figures.failed = m_failed / answered;
+        figures.shed = m_shed / answered;
+        return figures;
+    }
+
+    ManualTiming m_timing;
+    ModelExecutors m_executors;
+    std::mt19937 m_random;
+    double m_rate;
+    double m_capacity;
+    MemoryTable m_rows;
+    TableFaults m_faults;
+    EmulatedTable m_table { m_rows, m_faults };
+    Metrics m_metrics;
+    Membership m_membership;
+    RequestPath<EmulatedTable, ModelExecutors, Policy, ManualTiming> m_path;
+    std::vector<double> m_latencies;
+    double m_failed { 0 };
+    double m_shed { 0 };
+    asio::io_context m_context;
+};
+
+/*! @brief Median and range of one figure over the seeds. */
+std::string spread(const std::vector<Figures>& runs, double Figures::*field, int digits)
+{
+    std::vector<double> values;
+    for (const auto& it : runs)
+        values.push_back(it.*field);
+    std::ranges::sort(values);
+    return fmt::format(
+        "{:.{}f} ({:.{}f}-{:.{}f})", values[values.size() / 2], digits, values.front(), digits, values.back(), digits);
+}
+
+template <typename Policy>
+void measure(const std::string& policy, const Scenario& scenario, double load)
+{
+    std::vector<Figures> runs;
+    for (const auto seed : seeds) {
+        auto model = std::make_unique<Model<Policy>>(scenario, load, seed);
+        runs.push_back(model->run());
+    }
+    fmt::print("| {} | {}x | {} | {} | {} | {} | {} | {} | {} |\n", policy, load, spread(runs, &Figures::goodput, 3),
+        spread(runs, &Figures::failed, 4), spread(runs, &Figures::shed, 3), spread(runs, &Figures::p50, 0),
+        spread(runs, &Figures::p99, 0), spread(runs, &Figures::p999, 0), spread(runs, &Figures::amplification, 3));
+}
+
+}
+
+int main()
+{
+    const std::vector<Scenario> scenarios { { "all healthy", false, false }, { "one executor 10x slow", true, false },
+        { "one executor failing at once", false, true }, { "one slow and one failing", true, true } };
+    for (const auto& scenario : scenarios) {
+        fmt::print("\n{} (capacity {:.0f} requests/s)\n\n", scenario.name, scenario.capacity());
+        fmt::print("| policy | load | goodput / capacity | failed | shed | p50 ms | p99 ms | p99.9 ms | dispatches per "
+                   "request |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- |\n");
+        for (const auto load : loads) {
+            measure<RoundRobin>("RoundRobin", scenario, load);
+            measure<PowerOfTwo<std::minstd_rand>>("PowerOfTwo", scenario, load);
+        }
+    }
+}
--- a/test/lycheespool/request/manual_timing.h
+++ b/src/lycheespool/request/manual_timing.h
@@ -2,12 +2,18 @@
 
 #include "lycheespool/request/timing.h"
 
+#include <algorithm>
 #include <map>
 #include <memory>
+#include <utility>
 
 namespace lycheespool {
 
-/*! @brief Virtual time: a model of Timing whose timers expire when the test advances the clock. */
+/**
+ * @brief Virtual time for tests and models: a model of Timing whose timers expire when the owner advances the clock.
+ *
+ * Copies share one clock. For one thread; timers that expire at the same time do so in the order of their waits.
+ */
 class ManualTiming {
     struct Wait {
         asio::steady_timer event;
@@ -20,14 +26,25 @@
     };
 
 public:
+    /*! @brief Timer on an executor, in virtual time. */
     class Timer {
     public:
+        /**
+         * @brief Makes a timer.
+         * @param timing Its clock.
+         * @param executor Executor on which it is used.
+         */
         Timer(const ManualTiming& timing, const asio::any_io_executor& executor)
             : m_state { timing.m_state }
             , m_wait { std::make_shared<Wait>(Wait { asio::steady_timer { executor } }) }
         {
         }
 
+        /**
+         * @brief Suspends the coroutine.
+         * @param length Virtual time to wait.
+         * @return False when the wait was cancelled.
+         */
         [[nodiscard]] Awaitable<bool> wait(Duration length)
         {
             const auto wait = m_wait;
@@ -39,6 +56,7 @@
             co_return wait->expired;
         }
 
+        /*! @brief Ends a wait that has begun. */
         void cancel() { m_wait->event.cancel(); }
 
     private:
@@ -46,9 +64,16 @@
         std::shared_ptr<Wait> m_wait;
     };
 
+    /**
+     * @brief Reads the clock.
+     * @return The present virtual time.
+     */
     [[nodiscard]] TimePoint now() const { return m_state->clock.now(); }
 
-    /*! @brief Moves to the next wait and ends it; false when nothing waits. */
+    /**
+     * @brief Moves the clock to the end of the next wait and ends it.
+     * @return False when nothing waits.
+     */
     bool advanceToNext()
     {
         if (m_state->waits.empty())
--- a/test/lycheespool/request/admission.cpp
+++ b/test/lycheespool/request/admission.cpp
@@ -1,5 +1,5 @@
 #include "lycheespool/request/admission.h"
-#include "manual_timing.h"
+#include "lycheespool/request/manual_timing.h"
 
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
--- a/test/lycheespool/request/delayed_table.h
+++ b/test/lycheespool/request/delayed_table.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "lycheespool/request/manual_timing.h"
 #include "lycheespool/store/emulated_table.h"
-#include "manual_timing.h"
 
 #include <random>
 
--- a/test/lycheespool/request/fake_agents.h
+++ b/test/lycheespool/request/fake_agents.h
@@ -3,7 +3,7 @@
 #include "lycheespool/core/error.h"
 #include "lycheespool/request/dispatcher.h"
 #include "lycheespool/request/execution_ledger.h"
-#include "manual_timing.h"
+#include "lycheespool/request/manual_timing.h"
 
 #include <deque>
 #include <map>
