Add a planner that places whole gangs and keeps guarantees reclaimable

Cause: FirstFit knows neither guarantees nor evictions and packs by worker id, so a workspace cannot reclaim its guaranteed shape and large gangs find no rack.

Ruled out: charging work to all cells of a workspace on a worker together; the property test showed that one job then uses parts of several cells and the remaining shape cannot be claimed as a whole. Work is charged to single cells, the smallest that can hold it. Also ruled out: leaving cells in use where they are when a new arrangement would satisfy all guarantees; the workspace could then not reclaim its shape although the capacity suffices.

Change: dense cluster state with room indexed by zone, rack and accelerators; best fit; a mapping of guaranteed cells to workers that is kept satisfiable; reclaim that evicts the borrowed work with the least loss; shortfalls; validation.

--- /dev/null
+++ b/src/lycheespool/placement/guarantee_validation.cpp
@@ -0,0 +1,31 @@
+#include "lycheespool/placement/guarantee_validation.h"
+
+#include "lycheespool/core/error.h"
+#include "lycheespool/placement/planner.h"
+
+#include <fmt/format.h>
+
+namespace lycheespool {
+
+std::vector<Shortfall> guaranteesBeyond(const Guarantees& guarantees, const std::vector<WorkerSpec>& capacity)
+{
+    Planner planner;
+    for (const auto& worker : capacity)
+        planner.workerJoined(worker, {});
+    planner.setGuarantees(guarantees, {});
+    return planner.shortfalls();
+}
+
+void checkForm(const Guarantees& guarantees)
+{
+    for (const auto& [workspace, cells] : guarantees) {
+        for (const auto& cell : cells) {
+            if (cell.tasks == 0 || cell.tasks > maxGangTasks)
+                throw Error(ErrorKind::invalidArgument,
+                    fmt::format("a guaranteed cell of workspace {} has {} tasks", workspace.value(), cell.tasks),
+                    fmt::format("give it 1 to {} tasks", maxGangTasks));
+        }
+    }
+}
+
+}
--- /dev/null
+++ b/src/lycheespool/placement/planner.h
@@ -0,0 +1,179 @@
+#pragma once
+
+#include "lycheespool/placement/cell_book.h"
+#include "lycheespool/placement/job_status.h"
+#include "lycheespool/placement/name_table.h"
+#include "lycheespool/placement/placement_policy.h"
+#include "lycheespool/placement/planner_job.h"
+#include "lycheespool/placement/refused_shape.h"
+
+#include <functional>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace lycheespool {
+
+/**
+ * @brief Places whole gangs close together and keeps every guarantee reclaimable; docs/placement.md has the policy.
+ *
+ * Decisions are made by plan() only; the other functions record what happened. A planner is a value: a copy can be
+ * asked what would happen.
+ */
+class Planner {
+public:
+    /*! @copydoc PlacementPolicy */
+    void submit(const JobSpec& spec, TimePoint now);
+    void adopt(const JobSpec& spec, const Assignment& workers, TimePoint now);
+    void cancel(const JobId& job, TimePoint now);
+    void finished(const JobId& job, TimePoint now);
+    void released(const JobId& job, TimePoint now);
+    void taskFailed(const JobId& job, const WorkerId& worker, TimePoint now);
+    void workerJoined(const WorkerSpec& worker, TimePoint now);
+    void workerLost(const WorkerId& worker, TimePoint now);
+    void setZoneOut(const ZoneId& zone, bool out, TimePoint now);
+    [[nodiscard]] Decisions plan(TimePoint now);
+
+    /**
+     * @brief Replaces all guarantees.
+     * @param guarantees The guaranteed shapes by workspace.
+     * @param now The present time.
+     * @throws Error of kind invalidArgument when a cell has no tasks or more than maxGangTasks.
+     */
+    void setGuarantees(const Guarantees& guarantees, TimePoint now);
+
+    /**
+     * @brief Records that a gang's work up to now is saved.
+     * @param job The job.
+     * @param now The time of the checkpoint.
+     */
+    void checkpointed(const JobId& job, TimePoint now);
+
+    /**
+     * @brief Lists guaranteed cells that the present capacity cannot hold.
+     * @return The cells in the order of the guarantees; empty when every guarantee can be claimed.
+     */
+    [[nodiscard]] std::vector<Shortfall> shortfalls();
+
+    /**
+     * @brief Lists every guaranteed cell with the workers that it is mapped to.
+     * @return The cells in the order of the guarantees.
+     */
+    [[nodiscard]] std::vector<BoundCell> boundCells();
+
+    /**
+     * @brief Lists the state of all jobs.
+     * @return The jobs in the order of their ids.
+     */
+    [[nodiscard]] std::vector<JobStatus> jobs() const;
+
+    /**
+     * @brief Gives the free capacity of a worker.
+     * @param worker The worker.
+     * @return What running gangs leave; nothing for a worker that is not known or lost.
+     */
+    [[nodiscard]] std::optional<Resources> freeOn(const WorkerId& worker) const;
+
+private:
+    struct WorkerLoad {
+        Amount used;
+        Amount claimed;
+        std::vector<Index> jobs;
+    };
+
+    using Victims = std::vector<Index>;
+    using CanEvict = std::function<bool(const PlannerJob& job)>;
+
+    struct Eviction {
+        Placement place;
+        Victims victims;
+    };
+
+    // Records.
+    [[nodiscard]] Index findJob(const JobId& job) const;
+    [[nodiscard]] Index makeJob(const JobSpec& spec, TimePoint now);
+    void removeJob(Index job);
+    void enqueue(Index job);
+    void dequeue(Index job);
+
+    // Capacity.
+    [[nodiscard]] bool announcedAs(Index worker, const WorkerSpec& spec) const;
+    [[nodiscard]] bool offered(Index worker) const;
+    [[nodiscard]] Amount available(Index worker) const;
+    void refresh(Index worker);
+    void refreshOffer(Index worker);
+    void withdraw(Index worker);
+    [[nodiscard]] bool zoneAllowed(Index zone) const;
+    [[nodiscard]] Amount placeable(Index worker) const;
+
+    // Places of jobs.
+    void occupy(Index job, Placement place, JobState state);
+    void vacate(Index job);
+    void charge(Index job, Placement covered);
+    void demote(Index job);
+    void begin(Index job, Placement place, TimePoint now);
+    [[nodiscard]] Assignment assignmentOf(const Placement& place) const;
+    [[nodiscard]] Placement placementOf(const Assignment& workers);
+
+    // Guarantees.
+    void settle();
+    void bindMissing();
+    void rebind();
+    [[nodiscard]] CellBook rearranged(bool onlyIdle) const;
+    void replaceBook(CellBook book);
+    void unbindCell(Index cell);
+    void demoteCharged(Index cell);
+    void chargePlaced(Index workspace);
+    [[nodiscard]] Placement coveringPlace(const CellBook::Cell& cell) const;
+    [[nodiscard]] bool couldCover(const GangShape& shape, const PlannerJob& job) const;
+    [[nodiscard]] Placement spaceFor(const GangShape& shape) const;
+    [[nodiscard]] std::vector<Index> placedJobsOf(Index workspace, const std::vector<Index>& workers) const;
+
+    // Starts.
+    void startClaims(TimePoint now);
+    [[nodiscard]] bool claimIsFree(const PlannerJob& job) const;
+    void placeWaiting(TimePoint now);
+    [[nodiscard]] bool tryPlace(Index job, TimePoint now);
+    [[nodiscard]] std::vector<Placement> placesInOneCell(const PlannerJob& job) const;
+    [[nodiscard]] std::vector<Placement> placesAcrossCells(const PlannerJob& job) const;
+    [[nodiscard]] bool startOrReclaim(Index job, TimePoint now);
+    [[nodiscard]] bool moveToCheaperPlace(const Eviction& eviction, const GangShape& inside, TimePoint now);
+    [[nodiscard]] bool startByMovingCell(Index job, TimePoint now);
+    [[nodiscard]] bool moveCell(Index cell, Placement target, const GangShape& inside);
+    [[nodiscard]] Placement placeInside(Index cell, const Placement& target, const GangShape& shape) const;
+    [[nodiscard]] bool startBorrowed(Index job, TimePoint now);
+
+    // Evictions.
+    [[nodiscard]] std::optional<Eviction> cheapest(
+        const std::vector<Placement>& places, const Amount& perTask, TimePoint now, const CanEvict& canEvict) const;
+    [[nodiscard]] std::optional<Victims> victimsFor(
+        const Placement& place, const Amount& perTask, TimePoint now, const CanEvict& canEvict) const;
+    [[nodiscard]] Amount usedBy(const PlannerJob& job, Index worker) const;
+    [[nodiscard]] double lossOf(const Victims& victims, TimePoint now) const;
+    void evict(Index job, const std::string& reason);
+    void claim(Index job, Placement place, const Victims& victims, const std::string& reason);
+    void unclaim(Index job);
+
+    Topology m_topology;
+    std::vector<WorkerLoad> m_loads;
+    RoomIndex m_free;
+    CellBook m_book;
+
+    std::unordered_map<JobId, Index> m_jobIndex;
+    std::vector<PlannerJob> m_jobs;
+    std::vector<Index> m_unusedJobs;
+    NameTable<WorkspaceId> m_workspaces;
+    NameTable<std::string> m_kinds;
+    std::set<std::pair<TimePoint, Index>> m_queue;
+    std::set<Index> m_claims;
+    std::vector<std::vector<Index>> m_placed;
+
+    bool m_unsettled { false };
+    Decisions m_decisions;
+};
+
+static_assert(PlacementPolicy<Planner>);
+
+}
--- /dev/null
+++ b/test/lycheespool/placement/planner.cpp
@@ -0,0 +1,124 @@
+#include "lycheespool/placement/planner.h"
+
+#include "lycheespool/core/error.h"
+#include "lycheespool/placement/guarantee_validation.h"
+
+#include <doctest/doctest.h>
+
+using namespace lycheespool;
+
+namespace {
+
+using namespace std::chrono_literals;
+
+std::vector<WorkerSpec> makeWorkers(int zones, int racks, int workers)
+{
+    std::vector<WorkerSpec> all;
+    for (int it = 0; it < zones * racks * workers; ++it) {
+        const auto rack = it / workers;
+        all.push_back({ WorkerId { "w" + std::to_string(it) }, ZoneId { "z" + std::to_string(rack / racks) },
+            RackId { "r" + std::to_string(rack) }, { 60, 128000, 8 } });
+    }
+    return all;
+}
+
+Planner makePlanner(int zones, int racks, int workers)
+{
+    Planner planner;
+    for (const auto& it : makeWorkers(zones, racks, workers))
+        planner.workerJoined(it, {});
+    return planner;
+}
+
+JobSpec makeJob(const std::string& id, const std::string& workspace, std::uint32_t tasks, std::uint32_t accelerators)
+{
+    JobSpec spec;
+    spec.id = JobId { id };
+    spec.workspace = WorkspaceId { workspace };
+    spec.tasks = tasks;
+    spec.perTask = { 4, 1000, accelerators };
+    spec.declaredRunTime = 1h;
+    return spec;
+}
+
+template <typename Kind>
+std::vector<JobId> jobsOf(const Decisions& decisions)
+{
+    std::vector<JobId> ids;
+    for (const auto& it : decisions) {
+        if (const auto* found = std::get_if<Kind>(&it))
+            ids.push_back(found->job);
+    }
+    return ids;
+}
+
+Guarantees guarantee(const std::string& workspace, const GuaranteedCell& cell)
+{
+    return { { WorkspaceId { workspace }, { cell } } };
+}
+
+}
+
+// Guards against small jobs that are spread over racks until no rack can take a large gang.
+TEST_CASE("small jobs are packed so that whole racks stay empty")
+{
+    auto planner = makePlanner(2, 2, 2);
+    for (int it = 0; it < 8; ++it) {
+        planner.submit(makeJob("small" + std::to_string(it), "s", 1, 1), {});
+        CHECK(planner.plan({}).size() == 1);
+    }
+    auto large = makeJob("large", "s", 6, 8);
+    large.tasks = 2;
+    large.adjacency = Adjacency::rack;
+    for (int it = 0; it < 3; ++it) {
+        large.id = JobId { "large" + std::to_string(it) };
+        planner.submit(large, {});
+        CHECK(planner.plan({}).size() == 1);
+    }
+}
+
+// Guards against a reclaim that stops the work whose loss costs most.
+TEST_CASE("reclaiming evicts the borrowed work with the least unsaved work")
+{
+    auto planner = makePlanner(1, 1, 2);
+    planner.setGuarantees(guarantee("owner", { Adjacency::worker, 1, { 4, 1000, 8 }, 1 }), {});
+    planner.submit(makeJob("a", "guest", 1, 8), {});
+    planner.submit(makeJob("b", "guest", 1, 8), {});
+    CHECK(planner.plan({}).size() == 2);
+    const TimePoint later { 2h };
+    planner.checkpointed(JobId { "b" }, later - 1min);
+    planner.submit(makeJob("c", "owner", 1, 8), later);
+    const auto evicted = jobsOf<EvictGang>(planner.plan(later));
+    REQUIRE(evicted.size() == 1);
+    CHECK(evicted.front() == JobId { "b" });
+    CHECK(planner.plan(later).empty());
+    planner.released(JobId { "b" }, later);
+    CHECK(jobsOf<StartGang>(planner.plan(later)) == std::vector { JobId { "c" } });
+}
+
+// Guards against a guarantee that stays unreported, or unrestored, after workers are lost and return.
+TEST_CASE("a guarantee that lost workers make impossible is reported and restored")
+{
+    auto planner = makePlanner(1, 1, 2);
+    const auto guarantees = guarantee("s", { Adjacency::rack, 1, { 4, 1000, 8 }, 2 });
+    planner.setGuarantees(guarantees, {});
+    CHECK(planner.shortfalls().empty());
+    planner.workerLost(WorkerId { "w1" }, {});
+    REQUIRE(planner.shortfalls().size() == 1);
+    CHECK(planner.shortfalls().front() == Shortfall { WorkspaceId { "s" }, guarantees.begin()->second.front() });
+    planner.workerJoined(makeWorkers(1, 1, 2)[1], {});
+    CHECK(planner.shortfalls().empty());
+}
+
+// Guards against a document whose guarantees exceed the capacity, and against cells and jobs without tasks.
+TEST_CASE("validation names the guarantees that do not fit")
+{
+    const auto workers = makeWorkers(2, 1, 2);
+    CHECK(guaranteesBeyond(guarantee("s", { Adjacency::zone, 2, { 4, 1000, 8 }, 2 }), workers).empty());
+    const auto beyond = guaranteesBeyond(guarantee("s", { Adjacency::zone, 3, { 4, 1000, 8 }, 2 }), workers);
+    REQUIRE(beyond.size() == 1);
+    CHECK(beyond.front().cell.count == 1);
+    CHECK_THROWS_AS(static_cast<void>(guaranteesBeyond(guarantee("s", { Adjacency::zone, 1, {}, 0 }), workers)), Error);
+    Planner planner;
+    CHECK_THROWS_AS(planner.submit(makeJob("j", "s", 65, 1), {}), Error);
+}
