Order the queue, reserve for large jobs and preempt borrowed work

Cause: without an order by urgency and a reservation, small jobs overtake a large one for ever.

Ruled out: recomputing the reservation whenever its estimated start has passed; the place then moves to workers whose work is too young to be evicted, and the wait is no longer bounded. The reserved place is kept until it is unusable.

Change: queue position as a time (urgency and estimated run time shift it by bounded amounts, so it ages by itself); reservation for the first job that cannot start, with backfill by work that is estimated to end before; backfilled work is evicted at the reserved start; after 1 h the reserved job evicts borrowed work that has run 30 min; urgent work preempts borrowed work; run times corrected per workspace and kind; a claim without victims starts at once.

Conclusion: the job at the head of the queue starts within the aging limit unless guaranteed work holds its place.

--- a/src/lycheespool/placement/planner.cpp
+++ b/src/lycheespool/placement/planner.cpp
@@ -27,6 +27,7 @@
     occupy(job, placementOf(workers), JobState::running);
     m_jobs[job].startedAt = now;
     m_jobs[job].checkpointAt = now;
+    m_jobs[job].interrupted = true;
     m_unsettled = true;
 }
 
@@ -36,18 +37,26 @@
         removeJob(job);
 }
 
-void Planner::finished(const JobId& id, TimePoint)
+void Planner::finished(const JobId& id, TimePoint now)
 {
-    if (const auto job = findJob(id); job != noIndex)
-        removeJob(job);
+    const auto index = findJob(id);
+    if (index == noIndex)
+        return;
+    const auto& job = m_jobs[index];
+    if (job.state == JobState::running && !job.interrupted)
+        m_estimates.record(job.workspace, job.kind, job.declaredRunTime, now - job.startedAt);
+    removeJob(index);
 }
 
-void Planner::released(const JobId& id, TimePoint)
+void Planner::released(const JobId& id, TimePoint now)
 {
     const auto job = findJob(id);
     if (job == noIndex || m_jobs[job].state == JobState::waiting)
         return;
     vacate(job);
+    m_jobs[job].interrupted = true;
+    m_jobs[job].backfilled = false;
+    m_jobs[job].waitingFrom = now;
     enqueue(job);
 }
 
@@ -207,6 +216,7 @@
     job.shape = { Amount::of(spec.perTask), spec.tasks, spec.adjacency };
     job.declaredRunTime = spec.declaredRunTime;
     job.since = now;
+    job.waitingFrom = now;
     job.workspace = m_workspaces.indexOf(spec.workspace);
     m_placed.resize(m_workspaces.size());
     job.kind = m_kinds.indexOf(spec.kind);
@@ -218,6 +228,8 @@
 {
     dequeue(job);
     vacate(job);
+    if (m_reservation.job == job)
+        m_reservation = {};
     m_jobIndex.erase(m_jobs[job].id);
     m_jobs[job] = {};
     m_unusedJobs.push_back(job);
@@ -227,7 +239,7 @@
 {
     auto& job = m_jobs[index];
     job.state = JobState::waiting;
-    job.queueKey = queueKey(job.urgency, job.since, job.declaredRunTime);
+    job.queueKey = queueKey(job.urgency, job.since, estimate(job));
     m_queue.emplace(job.queueKey, index);
 }
 
--- a/src/lycheespool/placement/planner.h
+++ b/src/lycheespool/placement/planner.h
@@ -6,6 +6,8 @@
 #include "lycheespool/placement/placement_policy.h"
 #include "lycheespool/placement/planner_job.h"
 #include "lycheespool/placement/refused_shape.h"
+#include "lycheespool/placement/reservation.h"
+#include "lycheespool/placement/run_time_estimates.h"
 
 #include <functional>
 #include <optional>
@@ -83,6 +85,9 @@
         std::vector<Index> jobs;
     };
 
+    // Bounds the time of one eviction among thousands of workers; more places hardly lower the loss.
+    static constexpr std::size_t maxPlacesCompared = 64;
+
     using Victims = std::vector<Index>;
     using CanEvict = std::function<bool(const PlannerJob& job)>;
 
@@ -133,6 +138,7 @@
 
     // Starts.
     void startClaims(TimePoint now);
+    void startClaim(Index job, TimePoint now);
     [[nodiscard]] bool claimIsFree(const PlannerJob& job) const;
     void placeWaiting(TimePoint now);
     [[nodiscard]] bool tryPlace(Index job, TimePoint now);
@@ -145,6 +151,18 @@
     [[nodiscard]] Placement placeInside(Index cell, const Placement& target, const GangShape& shape) const;
     [[nodiscard]] bool startBorrowed(Index job, TimePoint now);
 
+    // Queue.
+    [[nodiscard]] bool startReserved(Index job, TimePoint now);
+    [[nodiscard]] bool preempt(Index job, TimePoint now);
+    void reserveFor(Index job, TimePoint now);
+    void dropStaleReservation();
+    [[nodiscard]] bool keptFree(Index worker, Index job, TimePoint now) const;
+    [[nodiscard]] bool reserved(Index worker) const;
+    [[nodiscard]] Duration estimate(const PlannerJob& job) const;
+    [[nodiscard]] std::vector<std::pair<TimePoint, Index>> endsOfRuns(TimePoint now) const;
+    [[nodiscard]] std::vector<Index> workersNear(const Placement& place, Adjacency adjacency) const;
+    [[nodiscard]] std::vector<Index> allWorkers() const;
+
     // Evictions.
     [[nodiscard]] std::optional<Eviction> cheapest(
         const std::vector<Placement>& places, const Amount& perTask, TimePoint now, const CanEvict& canEvict) const;
@@ -153,7 +171,7 @@
     [[nodiscard]] Amount usedBy(const PlannerJob& job, Index worker) const;
     [[nodiscard]] double lossOf(const Victims& victims, TimePoint now) const;
     void evict(Index job, const std::string& reason);
-    void claim(Index job, Placement place, const Victims& victims, const std::string& reason);
+    void claim(Index job, Placement place, const Victims& victims, const std::string& reason, TimePoint now);
     void unclaim(Index job);
 
     Topology m_topology;
@@ -168,6 +186,8 @@
     NameTable<std::string> m_kinds;
     std::set<std::pair<TimePoint, Index>> m_queue;
     std::set<Index> m_claims;
+    Reservation m_reservation;
+    RunTimeEstimates m_estimates;
     std::vector<std::vector<Index>> m_placed;
 
     bool m_unsettled { false };
--- a/src/lycheespool/placement/planner_evictions.cpp
+++ b/src/lycheespool/placement/planner_evictions.cpp
@@ -3,18 +3,10 @@
 
 #include <algorithm>
 #include <limits>
-#include <numeric>
 #include <utility>
 
 namespace lycheespool {
 
-namespace {
-
-// Bounds the time of one reclaim among thousands of workers; more places hardly lower the loss.
-constexpr std::size_t maxPlacesCompared = 64;
-
-}
-
 bool Planner::startOrReclaim(Index index, TimePoint now)
 {
     const auto& job = m_jobs[index];
@@ -29,7 +21,7 @@
     if (!best)
         return false;
     claim(index, best->place, best->victims,
-        "capacity reclaimed by the guarantee of workspace " + m_workspaces.name(job.workspace).value());
+        "capacity reclaimed by the guarantee of workspace " + m_workspaces.name(job.workspace).value(), now);
     return true;
 }
 
@@ -39,14 +31,11 @@
     const auto cell = eviction.place.front().cell;
     if (loss <= 0 || !m_book.movable(cell))
         return false;
-    std::vector<Index> workers(m_topology.workers().size());
-    std::iota(workers.begin(), workers.end(), Index { 0 });
     const auto room = [&](Index worker) {
-        return offered(worker) && zoneAllowed(m_topology.zoneOf(worker)) ? m_book.unreserved().room(worker)
-                                                                         : Amount::none();
+        return zoneAllowed(m_topology.zoneOf(worker)) ? m_book.unreserved().room(worker) : Amount::none();
     };
     const auto& shape = m_book.cells()[cell].shape;
-    auto places = placesAmong(m_topology, workers, shape, room);
+    auto places = placesAmong(m_topology, allWorkers(), shape, room);
     places.resize(std::min(places.size(), maxPlacesCompared));
     auto best = cheapest(places, shape.perTask, now, [](const PlannerJob& it) { return !it.guaranteed; });
     return best && lossOf(best->victims, now) < loss && moveCell(cell, std::move(best->place), inside);
@@ -111,12 +100,13 @@
     return loss;
 }
 
-void Planner::claim(Index index, Placement place, const Victims& victims, const std::string& reason)
+void Planner::claim(Index index, Placement place, const Victims& victims, const std::string& reason, TimePoint now)
 {
     for (const auto victim : victims)
         evict(victim, reason);
     dequeue(index);
     occupy(index, std::move(place), JobState::claiming);
+    startClaim(index, now);
 }
 
 void Planner::evict(Index index, const std::string& reason)
--- a/src/lycheespool/placement/planner_job.h
+++ b/src/lycheespool/placement/planner_job.h
@@ -27,6 +27,8 @@
     TimePoint since;
     /*! @brief Position in the queue. */
     TimePoint queueKey;
+    /*! @brief End of the last run, or `since`; a job that was evicted waits anew before it ages. */
+    TimePoint waitingFrom;
     TimePoint startedAt;
     TimePoint checkpointAt;
     Index workspace { noIndex };
@@ -39,6 +41,10 @@
     bool guaranteed { false };
     /*! @brief Evicted because its zone is out of service. */
     bool draining { false };
+    /*! @brief Uses a place that is reserved for another job. */
+    bool backfilled { false };
+    /*! @brief Has been stopped or adopted, so that the present run does not show the whole run time. */
+    bool interrupted { false };
 
     /**
      * @brief Gives the work that is lost when the gang stops without a checkpoint.
--- a/src/lycheespool/placement/planner_starts.cpp
+++ b/src/lycheespool/placement/planner_starts.cpp
@@ -10,13 +10,17 @@
 
 void Planner::startClaims(TimePoint now)
 {
-    for (const auto index : std::vector(m_claims.begin(), m_claims.end())) {
-        if (!claimIsFree(m_jobs[index]))
-            continue;
-        auto place = m_jobs[index].place;
-        vacate(index);
-        begin(index, std::move(place), now);
-    }
+    for (const auto index : std::vector(m_claims.begin(), m_claims.end()))
+        startClaim(index, now);
+}
+
+void Planner::startClaim(Index index, TimePoint now)
+{
+    if (!claimIsFree(m_jobs[index]))
+        return;
+    auto place = m_jobs[index].place;
+    vacate(index);
+    begin(index, std::move(place), now);
 }
 
 bool Planner::claimIsFree(const PlannerJob& job) const
@@ -31,16 +35,23 @@
 {
     // A shape that found no place in this call finds none later in it, because starts only take room.
     std::set<RefusedShape> refused;
+    dropStaleReservation();
     for (auto it = m_queue.begin(); it != m_queue.end();) {
         const auto index = it->second;
         ++it;
         const auto shape = RefusedShape::of(m_jobs[index]);
-        if (!refused.contains(shape) && !tryPlace(index, now))
-            refused.insert(shape);
+        const auto holdsPlace = m_reservation.job == index;
+        if ((!holdsPlace && refused.contains(shape)) || tryPlace(index, now))
+            continue;
+        refused.insert(shape);
+        reserveFor(index, now);
     }
 }
 
-bool Planner::tryPlace(Index job, TimePoint now) { return startOrReclaim(job, now) || startBorrowed(job, now); }
+bool Planner::tryPlace(Index job, TimePoint now)
+{
+    return startOrReclaim(job, now) || startBorrowed(job, now) || startReserved(job, now) || preempt(job, now);
+}
 
 void Planner::begin(Index index, Placement place, TimePoint now)
 {
@@ -150,9 +161,10 @@
     const auto& job = m_jobs[index];
     auto place = m_free.find(
         m_topology, job.shape, [&](Index zone) { return zoneAllowed(zone); },
-        [&](Index worker) { return m_free.room(worker); });
+        [&](Index worker) { return keptFree(worker, index, now) ? Amount::none() : m_free.room(worker); });
     if (place.empty())
         return false;
+    m_jobs[index].backfilled = std::ranges::any_of(place, [&](const Share& it) { return reserved(it.worker); });
     begin(index, std::move(place), now);
     return true;
 }
--- a/test/lycheespool/placement/planner.cpp
+++ b/test/lycheespool/placement/planner.cpp
@@ -122,3 +122,52 @@
     Planner planner;
     CHECK_THROWS_AS(planner.submit(makeJob("j", "s", 65, 1), {}), Error);
 }
+
+// Guards against backfill that delays the reserved start, also when the backfilled job was declared too short.
+TEST_CASE("short jobs fill a reserved place only until the reserved start")
+{
+    auto planner = makePlanner(1, 1, 2);
+    TimePoint now {};
+    planner.submit(makeJob("running", "s", 1, 8), now);
+    CHECK(planner.plan(now).size() == 1);
+    planner.submit(makeJob("large", "s", 2, 8), now);
+    CHECK(planner.plan(now).empty());
+    auto longer = makeJob("long", "s", 1, 4);
+    longer.declaredRunTime = 2h;
+    planner.submit(longer, now);
+    auto brief = makeJob("short", "s", 1, 4);
+    brief.declaredRunTime = 5min;
+    planner.submit(brief, now);
+    CHECK(jobsOf<StartGang>(planner.plan(now)) == std::vector { JobId { "short" } });
+    now += 1h;
+    planner.finished(JobId { "running" }, now);
+    CHECK(jobsOf<EvictGang>(planner.plan(now)) == std::vector { JobId { "short" } });
+    planner.released(JobId { "short" }, now);
+    CHECK(jobsOf<StartGang>(planner.plan(now)) == std::vector { JobId { "large" } });
+}
+
+// Guards against estimates that repeat a declaration which finished runs have shown to be wrong.
+TEST_CASE("run times are corrected by the finished runs of a workspace and kind")
+{
+    RunTimeEstimates estimates;
+    for (int it = 0; it < 20; ++it)
+        estimates.record(0, 0, 1h, 10h);
+    CHECK(estimates.estimate(0, 0, 1h) > 9h);
+    CHECK(estimates.estimate(0, 1, 1h) == 1h);
+}
+
+// Guards against urgent work that waits behind borrowed work, and against preempting work inside a guarantee.
+TEST_CASE("urgent work preempts borrowed work but no guaranteed work")
+{
+    auto planner = makePlanner(1, 1, 2);
+    planner.setGuarantees(guarantee("owner", { Adjacency::worker, 1, { 4, 1000, 8 }, 1 }), {});
+    planner.submit(makeJob("guaranteed", "owner", 1, 8), {});
+    planner.submit(makeJob("borrowed", "guest", 1, 8), {});
+    CHECK(planner.plan({}).size() == 2);
+    for (const auto* id : { "urgent1", "urgent2" }) {
+        auto urgent = makeJob(id, "other", 1, 8);
+        urgent.urgency = Urgency::urgent;
+        planner.submit(urgent, {});
+    }
+    CHECK(jobsOf<EvictGang>(planner.plan({})) == std::vector { JobId { "borrowed" } });
+}
--- a/test/lycheespool/placement/planner_properties.cpp
+++ b/test/lycheespool/placement/planner_properties.cpp
@@ -119,3 +119,29 @@
             RC_ASSERT(rebuilt.freeOn(worker.id) == cluster.policy().freeOn(worker.id));
     }));
 }
+
+// Guards against a large job that small ones overtake for ever: the first of the queue starts within the aging limit.
+TEST_CASE("the large job at the head of the queue starts within the aging limit")
+{
+    CHECK(rc::check([] {
+        ClusterModel<Planner> cluster;
+        const auto sizes = *rc::gen::container<std::vector<unsigned>>(40, rc::gen::inRange(0U, 20U));
+        for (const auto size : sizes)
+            cluster.step({ Event::Kind::submit, 0, size });
+        for (const auto& id : cluster.idsWhere([](const auto& job) { return job.workers.empty(); }))
+            cluster.cancel(id);
+        const JobId large { "large" };
+        cluster.submit({ large, WorkspaceId { "s0" }, 4, { 4, 1000, 8 }, Adjacency::zone, 1h, Urgency::normal, "" });
+        for (const auto begin = cluster.now(); cluster.now() - begin <= agingLimit; cluster.advance(2min)) {
+            cluster.step({ Event::Kind::submit, 0, *rc::gen::inRange(0U, 20U) });
+            if (*rc::gen::inRange(0, 3) == 0)
+                cluster.step({ Event::Kind::finish, *rc::gen::inRange(0U, 1000U), 0 });
+            cluster.releaseEvicted();
+        }
+        cluster.plan();
+        cluster.releaseEvicted();
+        cluster.plan();
+        const auto found = cluster.jobs().find(large);
+        RC_ASSERT(found == cluster.jobs().end() || !found->second.workers.empty());
+    }));
+}
