Drain zones, quarantine faulty workers, fail hopeless jobs, explain

Cause: a zone that operators take out must empty in an order that saves the most work; faulty workers and impossible jobs would otherwise consume starts for ever.

Ruled out: failing an impossible job against the workers present at the moment; a new leader knows none yet, and a restarting worker would fail jobs for good. Jobs are judged 33 s after the first plan, and lost workers count for 1 h.

Change: zone drains (most unsaved work first, at most 4 at once; 4 starts a second for 1 min after the return), worker health, permanent failures with the reason, explain(), fragmentation().

--- a/src/lycheespool/placement/planner.cpp
+++ b/src/lycheespool/placement/planner.cpp
@@ -45,6 +45,7 @@
     const auto& job = m_jobs[index];
     if (job.state == JobState::running && !job.interrupted)
         m_estimates.record(job.workspace, job.kind, job.declaredRunTime, now - job.startedAt);
+    noteSuccess(job);
     removeJob(index);
 }
 
@@ -60,16 +61,18 @@
     enqueue(job);
 }
 
-void Planner::taskFailed(const JobId&, const WorkerId&, TimePoint) { }
-
 void Planner::workerJoined(const WorkerSpec& spec, TimePoint)
 {
     const auto known = m_topology.find(spec.id);
     if (known != noIndex && announcedAs(known, spec))
         return;
-    if (known != noIndex)
+    if (known != noIndex) {
         withdraw(known);
-    refreshOffer(m_topology.join(spec));
+        m_capacity.set(m_topology, known, Amount::none());
+    }
+    const auto worker = m_topology.join(spec);
+    m_capacity.set(m_topology, worker, m_topology.worker(worker).capacity);
+    refreshOffer(worker);
     m_unsettled = true;
 }
 
@@ -82,20 +85,25 @@
     return rack.id == spec.rack && m_topology.zones()[rack.zone].id == spec.zone;
 }
 
-void Planner::workerLost(const WorkerId& id, TimePoint)
+void Planner::workerLost(const WorkerId& id, TimePoint now)
 {
     const auto worker = m_topology.find(id);
     if (worker == noIndex || !m_topology.worker(worker).present)
         return;
+    m_lost.emplace_back(now, worker);
+    m_lostAt[worker] = now;
     withdraw(worker);
 }
 
-void Planner::setZoneOut(const ZoneId& id, bool out, TimePoint)
+void Planner::setZoneOut(const ZoneId& id, bool out, TimePoint now)
 {
     const auto index = m_topology.zoneIndex(id);
     if (m_topology.zone(index).out == out)
         return;
     m_topology.zone(index).out = out;
+    m_returns.erase(index);
+    if (!out)
+        m_returns.emplace(index, ReturnPace { now });
     for (const auto rack : m_topology.zones()[index].racks) {
         for (const auto worker : m_topology.racks()[rack].workers)
             refreshOffer(worker);
@@ -106,8 +114,14 @@
 Decisions Planner::plan(TimePoint now)
 {
     m_decisions.clear();
+    m_now = now;
+    expireLost(now);
+    advanceHealth(now);
     settle();
+    failHopeless(now);
+    drainZones(now);
     startClaims(now);
+    placeProbes(now);
     placeWaiting(now);
     return std::exchange(m_decisions, {});
 }
@@ -230,6 +244,8 @@
     vacate(job);
     if (m_reservation.job == job)
         m_reservation = {};
+    m_unchecked.erase(job);
+    m_failedOn.erase(job);
     m_jobIndex.erase(m_jobs[job].id);
     m_jobs[job] = {};
     m_unusedJobs.push_back(job);
@@ -241,6 +257,7 @@
     job.state = JobState::waiting;
     job.queueKey = queueKey(job.urgency, job.since, estimate(job));
     m_queue.emplace(job.queueKey, index);
+    m_unchecked.insert(index);
 }
 
 void Planner::dequeue(Index job) { m_queue.erase({ m_jobs[job].queueKey, job }); }
--- a/src/lycheespool/placement/planner.h
+++ b/src/lycheespool/placement/planner.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "lycheespool/placement/cell_book.h"
+#include "lycheespool/placement/explanation.h"
 #include "lycheespool/placement/job_status.h"
 #include "lycheespool/placement/name_table.h"
 #include "lycheespool/placement/placement_policy.h"
@@ -8,8 +9,12 @@
 #include "lycheespool/placement/refused_shape.h"
 #include "lycheespool/placement/reservation.h"
 #include "lycheespool/placement/run_time_estimates.h"
+#include "lycheespool/placement/worker_health.h"
+#include "lycheespool/placement/zone_drain.h"
 
+#include <deque>
 #include <functional>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -71,6 +76,20 @@
      */
     [[nodiscard]] std::vector<JobStatus> jobs() const;
 
+    /**
+     * @brief Says why a job waits and what reclaiming its guarantee would cost.
+     * @param job The job.
+     * @param now The present time.
+     * @return The explanation; nothing for a job that is not known.
+     */
+    [[nodiscard]] std::optional<Explanation> explain(const JobId& job, TimePoint now) const;
+
+    /**
+     * @brief Measures how much free capacity is of no use.
+     * @return Share of the free accelerators in service that no guaranteed or waiting shape can use, 0 to 1.
+     */
+    [[nodiscard]] double fragmentation() const;
+
     /**
      * @brief Gives the free capacity of a worker.
      * @param worker The worker.
@@ -106,6 +125,7 @@
     // Capacity.
     [[nodiscard]] bool announcedAs(Index worker, const WorkerSpec& spec) const;
     [[nodiscard]] bool offered(Index worker) const;
+    [[nodiscard]] bool inService(Index worker) const;
     [[nodiscard]] Amount available(Index worker) const;
     void refresh(Index worker);
     void refreshOffer(Index worker);
@@ -163,6 +183,21 @@
     [[nodiscard]] std::vector<Index> workersNear(const Placement& place, Adjacency adjacency) const;
     [[nodiscard]] std::vector<Index> allWorkers() const;
 
+    // Zone drains and faults.
+    void drainZones(TimePoint now);
+    void drainZone(Index zone, TimePoint now);
+    [[nodiscard]] std::vector<Index> gangsIn(Index zone) const;
+    void noteSuccess(const PlannerJob& job);
+    void advanceHealth(TimePoint now);
+    void placeProbes(TimePoint now);
+    void failHopeless(TimePoint now);
+    void expireLost(TimePoint now);
+    [[nodiscard]] std::string whyHopeless(Index job, bool settled) const;
+
+    // Explanations.
+    void explainWait(Index job, TimePoint now, Explanation& found) const;
+    void nameEvicting(Index worker, std::vector<JobId>& names) const;
+
     // Evictions.
     [[nodiscard]] std::optional<Eviction> cheapest(
         const std::vector<Placement>& places, const Amount& perTask, TimePoint now, const CanEvict& canEvict) const;
@@ -188,6 +223,15 @@
     std::set<Index> m_claims;
     Reservation m_reservation;
     RunTimeEstimates m_estimates;
+    std::map<Index, ReturnPace> m_returns;
+    std::map<Index, WorkerHealth> m_health;
+    std::unordered_map<Index, std::vector<Index>> m_failedOn;
+    std::set<Index> m_unchecked;
+    RoomIndex m_capacity;
+    std::deque<std::pair<TimePoint, Index>> m_lost;
+    std::unordered_map<Index, TimePoint> m_lostAt;
+    std::optional<TimePoint> m_firstPlan;
+    TimePoint m_now;
     std::vector<std::vector<Index>> m_placed;
 
     bool m_unsettled { false };
--- a/src/lycheespool/placement/planner_capacity.cpp
+++ b/src/lycheespool/placement/planner_capacity.cpp
@@ -6,6 +6,12 @@
 namespace lycheespool {
 
 bool Planner::offered(Index worker) const
+{
+    const auto health = m_health.find(worker);
+    return inService(worker) && (health == m_health.end() || health->second.state() == WorkerHealth::State::healthy);
+}
+
+bool Planner::inService(Index worker) const
 {
     const auto zone = m_topology.zoneOf(worker);
     return m_topology.worker(worker).present && zone != noIndex && !m_topology.zones()[zone].out;
@@ -19,8 +25,6 @@
     return m_topology.worker(worker).capacity - load.used - load.claimed;
 }
 
-bool Planner::zoneAllowed(Index zone) const { return !m_topology.zones()[zone].out; }
-
 Amount Planner::placeable(Index worker) const
 {
     return zoneAllowed(m_topology.zoneOf(worker)) ? m_free.room(worker) : Amount::none();
--- /dev/null
+++ b/src/lycheespool/placement/planner_explain.cpp
@@ -0,0 +1,77 @@
+#include "lycheespool/placement/planner.h"
+
+#include "lycheespool/placement/fragmentation.h"
+
+#include <algorithm>
+
+namespace lycheespool {
+
+std::optional<Explanation> Planner::explain(const JobId& id, TimePoint now) const
+{
+    const auto index = findJob(id);
+    if (index == noIndex)
+        return std::nullopt;
+    const auto& job = m_jobs[index];
+    Explanation found { job.state, {}, {}, 0, {} };
+    if (job.state == JobState::waiting)
+        explainWait(index, now, found);
+    if (job.state == JobState::running)
+        found.reason = job.guaranteed ? "runs inside the guarantee of its workspace" : "runs as borrowed work";
+    if (job.state == JobState::evicting)
+        found.reason = "is being stopped and returns to the queue";
+    if (job.state == JobState::claiming) {
+        found.reason = "has a place and waits until the gangs that were evicted from it have stopped";
+        for (const auto& share : job.place)
+            nameEvicting(share.worker, found.victims);
+    }
+    return found;
+}
+
+void Planner::explainWait(Index index, TimePoint now, Explanation& found) const
+{
+    const auto& job = m_jobs[index];
+    auto places = placesInOneCell(job);
+    if (places.empty())
+        places = placesAcrossCells(job);
+    const auto best = cheapest(places, job.shape.perTask, now, [](const PlannerJob& it) { return !it.guaranteed; });
+    if (m_reservation.job == index)
+        found.reservedStart = m_reservation.at;
+    if (!best) {
+        found.reason = m_book.cellsOf(job.workspace).empty()
+            ? "its workspace has no guarantee, and no free place is large enough"
+            : "no unused part of its workspace's guarantee can hold it, and no free place is large enough";
+        return;
+    }
+    found.reason = "fits into the guarantee of its workspace and starts with the next plan";
+    found.loss = lossOf(best->victims, now);
+    for (const auto victim : best->victims)
+        found.victims.push_back(m_jobs[victim].id);
+}
+
+void Planner::nameEvicting(Index worker, std::vector<JobId>& names) const
+{
+    for (const auto other : m_loads[worker].jobs) {
+        const auto& id = m_jobs[other].id;
+        if (m_jobs[other].state == JobState::evicting && std::ranges::find(names, id) == names.end())
+            names.push_back(id);
+    }
+}
+
+double Planner::fragmentation() const
+{
+    std::vector<FreeRoom> rooms;
+    for (const auto worker : allWorkers())
+        rooms.push_back({ m_topology.zoneOf(worker), m_topology.worker(worker).rack, available(worker) });
+    std::vector<GangShape> shapes;
+    const auto add = [&](const GangShape& shape) {
+        if (std::ranges::find(shapes, shape) == shapes.end())
+            shapes.push_back(shape);
+    };
+    for (const auto& cell : m_book.cells())
+        add(cell.shape);
+    for (const auto& [key, index] : m_queue)
+        add(m_jobs[index].shape);
+    return lycheespool::fragmentation(rooms, shapes);
+}
+
+}
--- a/src/lycheespool/placement/planner_job.h
+++ b/src/lycheespool/placement/planner_job.h
@@ -39,8 +39,6 @@
     JobState state { JobState::waiting };
     /*! @brief Inside the workspace's guarantee; otherwise a placed job is borrowed work. */
     bool guaranteed { false };
-    /*! @brief Evicted because its zone is out of service. */
-    bool draining { false };
     /*! @brief Uses a place that is reserved for another job. */
     bool backfilled { false };
     /*! @brief Has been stopped or adopted, so that the present run does not show the whole run time. */
--- a/src/lycheespool/placement/planner_starts.cpp
+++ b/src/lycheespool/placement/planner_starts.cpp
@@ -60,6 +60,8 @@
     auto& job = m_jobs[index];
     job.startedAt = now;
     job.checkpointAt = now;
+    if (const auto pace = m_returns.find(m_topology.zoneOf(job.place.front().worker)); pace != m_returns.end())
+        pace->second.started(now);
     m_decisions.emplace_back(StartGang { job.id, assignmentOf(job.place) });
 }
 
--- a/test/lycheespool/placement/cluster_model.h
+++ b/test/lycheespool/placement/cluster_model.h
@@ -267,10 +267,28 @@
     {
         RC_ASSERT(m_jobs.at(fail.job).workers.empty());
         RC_ASSERT(!fail.reason.empty());
+        RC_ASSERT(fail.reason.starts_with("failed on") || !fitsEmptyCluster(m_jobs.at(fail.job).spec));
         m_jobs.erase(fail.job);
         m_failed.insert(fail.job);
     }
 
+    bool fitsEmptyCluster(const JobSpec& job) const
+    {
+        std::map<std::string, std::uint32_t> tasks;
+        for (const auto& worker : m_workers) {
+            if (!m_present.contains(worker.id))
+                continue;
+            auto group = worker.zone.value();
+            if (job.adjacency != Adjacency::zone)
+                group += worker.rack.value();
+            if (job.adjacency == Adjacency::worker)
+                group += worker.id.value();
+            for (auto room = worker.capacity; job.perTask.fitsInto(room); room -= job.perTask)
+                ++tasks[group];
+        }
+        return std::ranges::any_of(tasks, [&](const auto& it) { return it.second >= job.tasks; });
+    }
+
     std::set<JobId> guaranteedJobs() const
     {
         std::set<JobId> ids;
--- a/test/lycheespool/placement/planner.cpp
+++ b/test/lycheespool/placement/planner.cpp
@@ -171,3 +171,101 @@
     }
     CHECK(jobsOf<EvictGang>(planner.plan({})) == std::vector { JobId { "borrowed" } });
 }
+
+// Guards against a drain that stops more than four gangs at once or leaves the most unsaved work for last, and against
+// a burst of starts when the zone returns.
+TEST_CASE("a zone drain evicts four gangs at a time and a return starts four a second")
+{
+    auto planner = makePlanner(1, 1, 6);
+    TimePoint now {};
+    for (int it = 0; it < 6; ++it)
+        planner.submit(makeJob("j" + std::to_string(it), "s", 1, 8), now);
+    CHECK(planner.plan(now).size() == 6);
+    now += 1h;
+    planner.checkpointed(JobId { "j0" }, now);
+    planner.checkpointed(JobId { "j1" }, now - 1min);
+    planner.setZoneOut(ZoneId { "z0" }, true, now);
+    const auto first = jobsOf<EvictGang>(planner.plan(now));
+    CHECK(std::set(first.begin(), first.end())
+        == std::set { JobId { "j2" }, JobId { "j3" }, JobId { "j4" }, JobId { "j5" } });
+    CHECK(planner.plan(now).empty());
+    planner.released(JobId { "j2" }, now);
+    CHECK(jobsOf<EvictGang>(planner.plan(now)) == std::vector { JobId { "j1" } });
+    for (int it = 0; it < 6; ++it)
+        planner.released(JobId { "j" + std::to_string(it) }, now);
+    CHECK(planner.plan(now).empty());
+    planner.setZoneOut(ZoneId { "z0" }, false, now);
+    CHECK(planner.plan(now).size() == 4);
+    CHECK(planner.plan(now + 999ms).empty());
+    CHECK(planner.plan(now + 1s).size() == 2);
+}
+
+// Guards against a faulty worker that keeps failing jobs, and against one that never gets work again.
+TEST_CASE("three failures of different jobs quarantine a worker until one task succeeds")
+{
+    auto planner = makePlanner(1, 1, 1);
+    TimePoint now {};
+    for (const auto* id : { "a", "b", "c" }) {
+        planner.submit(makeJob(id, "s", 1, 8), now);
+        CHECK(planner.plan(now).size() == 1);
+        planner.taskFailed(JobId { id }, WorkerId { "w0" }, now);
+        planner.cancel(JobId { id }, now);
+    }
+    planner.submit(makeJob("d", "s", 1, 1), now);
+    planner.submit(makeJob("e", "s", 1, 1), now);
+    CHECK(planner.plan(now).empty());
+    now += 10min;
+    CHECK(planner.plan(now).size() == 1);
+    planner.finished(JobId { "d" }, now);
+    CHECK(planner.plan(now).size() == 1);
+}
+
+// Guards against a job that fails everywhere and is restarted for ever.
+TEST_CASE("a job that failed on three workers that run others well fails for good")
+{
+    auto planner = makePlanner(1, 1, 3);
+    planner.submit(makeJob("bad", "s", 1, 8), {});
+    for (int it = 0; it < 3; ++it) {
+        const auto decisions = planner.plan({});
+        REQUIRE(decisions.size() == 1);
+        const auto worker = std::get<StartGang>(decisions.front()).workers.front();
+        planner.taskFailed(JobId { "bad" }, worker, {});
+        planner.workerLost(worker, {});
+        planner.released(JobId { "bad" }, {});
+    }
+    const auto decisions = planner.plan({});
+    REQUIRE(decisions.size() == 1);
+    CHECK(std::get<FailJob>(decisions.front()).reason == "failed on 3 different workers that run other jobs well");
+}
+
+// Guards against impossible jobs that wait for ever, and against failing a job whose worker is only restarting.
+TEST_CASE("a job that fits nowhere fails, but not while a lost worker may return")
+{
+    auto planner = makePlanner(1, 1, 2);
+    TimePoint now {};
+    CHECK(planner.plan(now).empty());
+    now += 33s;
+    planner.submit(makeJob("impossible", "s", 3, 8), now);
+    planner.submit(makeJob("possible", "s", 2, 8), now);
+    planner.workerLost(WorkerId { "w0" }, now);
+    CHECK(jobsOf<FailJob>(planner.plan(now)) == std::vector { JobId { "impossible" } });
+    CHECK(planner.plan(now + 59min).empty());
+    CHECK(jobsOf<FailJob>(planner.plan(now + 1h)) == std::vector { JobId { "possible" } });
+}
+
+// Guards against an explanation without the cost of a reclaim, and a fragmentation figure that counts usable room.
+TEST_CASE("the planner explains a wait and measures fragmentation")
+{
+    auto planner = makePlanner(1, 1, 2);
+    planner.setGuarantees(guarantee("owner", { Adjacency::rack, 1, { 4, 1000, 8 }, 2 }), {});
+    CHECK(planner.fragmentation() == 0);
+    planner.submit(makeJob("guest", "guest", 1, 6), {});
+    CHECK(planner.plan({}).size() == 1);
+    CHECK(planner.fragmentation() == 1);
+    planner.submit(makeJob("owner", "owner", 2, 8), {});
+    const auto found = planner.explain(JobId { "owner" }, TimePoint { 10s });
+    REQUIRE(found);
+    CHECK(found->victims == std::vector { JobId { "guest" } });
+    CHECK(found->loss == 60);
+    CHECK(!planner.explain(JobId { "unknown" }, {}));
+}
