--- a/src/lycheespool/placement/planner.h
+++ b/src/lycheespool/placement/planner.h
@@ -76,6 +76,12 @@
      */
     [[nodiscard]] std::vector<JobStatus> jobs() const;
 
+    /**
+     * @brief Lists the workers that get no work, or one task only, because tasks failed there.
+     * @return The workers in no particular order.
+     */
+    [[nodiscard]] std::vector<WorkerId> quarantined() const;
+
     /**
      * @brief Says why a job waits and what reclaiming its guarantee would cost.
      * @param job The job.
@@ -231,6 +237,7 @@
     std::deque<std::pair<TimePoint, Index>> m_lost;
     std::unordered_map<Index, TimePoint> m_lostAt;
     std::optional<TimePoint> m_firstPlan;
+    std::optional<TimePoint> m_reservationTriedAt;
     TimePoint m_now;
     std::vector<std::vector<Index>> m_placed;
 
--- a/src/lycheespool/placement/planner_faults.cpp
+++ b/src/lycheespool/placement/planner_faults.cpp
@@ -43,6 +43,16 @@
     }
 }
 
+std::vector<WorkerId> Planner::quarantined() const
+{
+    std::vector<WorkerId> workers;
+    for (const auto& [worker, health] : m_health) {
+        if (health.state() != WorkerHealth::State::healthy)
+            workers.push_back(m_topology.worker(worker).id);
+    }
+    return workers;
+}
+
 void Planner::advanceHealth(TimePoint now)
 {
     for (auto& [worker, health] : m_health) {
--- a/src/lycheespool/placement/planner_guarantees.cpp
+++ b/src/lycheespool/placement/planner_guarantees.cpp
@@ -141,10 +141,11 @@
 
 Placement Planner::spaceFor(const GangShape& shape) const
 {
+    // Free room is searched by its own index, which refuses at once when little is free.
     const auto& unreserved = m_book.unreserved();
     const auto any = [](Index) { return true; };
     const auto freeRoom = [&](Index worker) { return least(unreserved.room(worker), m_free.room(worker)); };
-    auto place = unreserved.find(m_topology, shape, any, freeRoom);
+    auto place = m_free.find(m_topology, shape, any, freeRoom);
     return place.empty() ? unreserved.find(m_topology, shape) : place;
 }
 
--- a/src/lycheespool/placement/planner_queue.cpp
+++ b/src/lycheespool/placement/planner_queue.cpp
@@ -13,6 +13,9 @@
 // A run that exceeds its estimate is expected to last this much of its elapsed time longer.
 constexpr int overrunDivisor = 2;
 
+// A reservation looks at all running gangs, which takes milliseconds at target size.
+constexpr Duration reservationPeriod = std::chrono::seconds { 1 };
+
 }
 
 bool Planner::startReserved(Index index, TimePoint now)
@@ -70,6 +73,9 @@
 {
     if (m_reservation.job != noIndex || m_jobs[index].state != JobState::waiting)
         return;
+    if (m_reservationTriedAt && now - *m_reservationTriedAt < reservationPeriod)
+        return;
+    m_reservationTriedAt = now;
     const auto& shape = m_jobs[index].shape;
     std::vector<Amount> rooms(m_topology.workers().size(), Amount::none());
     for (const auto worker : allWorkers())
