--- a/src/lycheespool/agent/worker_tasks.h
+++ b/src/lycheespool/agent/worker_tasks.h
@@ -82,6 +82,7 @@
     {
         m_epoch = std::max(m_epoch, reply.epoch);
         m_lastReply = std::max(m_lastReply, sent);
+        m_answered = true;
         m_proof.observe(reply.freshness, sent);
     }
 
@@ -163,6 +164,7 @@
     Epoch m_epoch;
     TimePoint m_lastReply;
     TimePoint m_lastListed;
+    bool m_answered { false };
     bool m_listed { false };
     bool m_leaving { false };
     bool m_renewing { false };
@@ -346,7 +348,9 @@
 Awaitable<> WorkerTasks<Worker, Clock>::renewLeases()
 {
     const auto lease = m_lastReply + leaseTime - m_clock.now();
-    if (m_renewing || lease <= Duration::zero() || !workerAnswers())
+    // Before an entry has answered and the worker has listed its tasks, a new incarnation would prolong leases that the
+    // leader counts as expired.
+    if (!m_answered || !m_listed || m_renewing || lease <= Duration::zero() || !workerAnswers())
         co_return;
     m_renewing = true;
     try {
--- a/src/lycheespool/scheduler/agent_view.cpp
+++ b/src/lycheespool/scheduler/agent_view.cpp
@@ -5,6 +5,7 @@
 void AgentView::greet(const Hello& hello, TimePoint now)
 {
     m_lastHeard = now;
+    connected = true;
     m_spec.id = WorkerId { hello.agent.value() };
     m_spec.zone = hello.zone;
     m_spec.rack = hello.rack;
@@ -24,6 +25,7 @@
     m_draining = heartbeat.draining;
     if (heartbeat.complete) {
         m_known = true;
+        lost = false;
         m_lastComplete = now;
         m_tasks.clear();
     }
--- a/src/lycheespool/scheduler/agent_view.h
+++ b/src/lycheespool/scheduler/agent_view.h
@@ -79,6 +79,10 @@
 
     /*! @brief Whether the placement policy counts this worker. */
     bool joined { false };
+    /*! @brief Whether the leader has given the worker up because of its silence; its next complete heartbeat ends this.
+     */
+    bool lost { false };
+    bool connected { true };
     /*! @brief After a refused reservation, the worker is not offered to the policy until this time. */
     TimePoint suspendedUntil {};
     /*! @brief Time up to which the reports were searched for tasks that nobody wants. */
--- a/src/lycheespool/scheduler/detail/scheduler_lease.h
+++ b/src/lycheespool/scheduler/detail/scheduler_lease.h
@@ -61,8 +61,7 @@
 {
     const auto event = co_await m_lease.step();
     apply(event, now);
-    if (!m_leading)
-        forgetSilent(now);
+    forgetSilent(now);
     if (!m_leading || !m_lease.isHeld())
         co_return;
     if (!m_rebuilt)
@@ -115,6 +114,7 @@
     m_policy.reset();
     for (auto& [worker, agent] : m_agents) {
         agent.joined = false;
+        agent.lost = false;
         agent.searched = {};
     }
 }
--- a/src/lycheespool/scheduler/detail/scheduler_workers.h
+++ b/src/lycheespool/scheduler/detail/scheduler_workers.h
@@ -33,31 +33,35 @@
 }
 
 template <typename Policy, typename TableType, typename Orders, typename Clock>
-void Scheduler<Policy, TableType, Orders, Clock>::onDisconnected(const AgentId&, TimePoint)
+void Scheduler<Policy, TableType, Orders, Clock>::onDisconnected(const AgentId& agent, TimePoint)
 {
-    // The agent reconnects within its lease in most cases, so only its silence counts.
+    // The agent reconnects within its lease in most cases, so only its silence makes the worker lost.
+    const auto it = m_agents.find(WorkerId { agent.value() });
+    if (it != m_agents.end())
+        it->second.connected = false;
 }
 
 template <typename Policy, typename TableType, typename Orders, typename Clock>
 void Scheduler<Policy, TableType, Orders, Clock>::forgetSilent(TimePoint now)
 {
-    std::erase_if(m_agents, [&](const auto& it) { return now - it.second.lastHeard() >= workerLostAfter; });
+    // The view of a connected agent stays, because the agent says hello only once per connection.
+    std::erase_if(m_agents, [&](const auto& it) {
+        return !it.second.connected && !it.second.joined && now - it.second.lastHeard() >= forgetAfter;
+    });
 }
 
 template <typename Policy, typename TableType, typename Orders, typename Clock>
 void Scheduler<Policy, TableType, Orders, Clock>::loseWorkers(TimePoint now)
 {
-    for (auto it = m_agents.begin(); it != m_agents.end();) {
-        if (now - std::max(it->second.lastHeard(), m_observingSince) < workerLostAfter) {
-            ++it;
+    for (auto& [worker, agent] : m_agents) {
+        const bool silent = now - std::max(agent.lastHeard(), m_observingSince) >= workerLostAfter;
+        const bool blind = now - std::max(agent.lastComplete(), m_observingSince) >= tasksUnknownAfter;
+        if (agent.lost || !(silent || blind))
             continue;
-        }
-        const auto worker = it->first;
-        const bool joined = it->second.joined;
-        it = m_agents.erase(it);
+        agent.lost = true;
         m_workersLost.add();
         log(LogLevel::warning, "worker {} is lost", worker.value());
-        if (joined)
+        if (std::exchange(agent.joined, false))
             m_policy->workerLost(worker, now);
     }
 }
@@ -78,7 +82,7 @@
 {
     const auto blocked = blockedWorkers();
     for (auto& [worker, agent] : m_agents) {
-        const bool usable = agent.isKnown() && !agent.isDraining() && now >= agent.suspendedUntil;
+        const bool usable = !agent.lost && agent.isKnown() && !agent.isDraining() && now >= agent.suspendedUntil;
         if (agent.joined || !usable || blocked.contains(worker))
             continue;
         agent.joined = true;
@@ -128,14 +132,15 @@
 template <typename Policy, typename TableType, typename Orders, typename Clock>
 bool Scheduler<Policy, TableType, Orders, Clock>::isLost(const WorkerId& worker, TimePoint now) const
 {
-    return !m_agents.contains(worker) && now - m_observingSince >= workerLostAfter;
+    const auto it = m_agents.find(worker);
+    return it == m_agents.end() ? now - m_observingSince >= workerLostAfter : it->second.lost;
 }
 
 template <typename Policy, typename TableType, typename Orders, typename Clock>
 const AgentView* Scheduler<Policy, TableType, Orders, Clock>::agentOf(const WorkerId& worker) const
 {
     const auto it = m_agents.find(worker);
-    return it == m_agents.end() ? nullptr : &it->second;
+    return it == m_agents.end() || it->second.lost ? nullptr : &it->second;
 }
 
 template <typename Policy, typename TableType, typename Orders, typename Clock>
--- a/src/lycheespool/scheduler/scheduler.h
+++ b/src/lycheespool/scheduler/scheduler.h
@@ -52,6 +52,15 @@
 
     /*! @brief Silence after which a worker is lost; 3 s longer than the leases of its tasks. */
     static constexpr Duration workerLostAfter = std::chrono::seconds { 33 };
+    /**
+     * @brief A worker whose agent answers but cannot list its tasks is lost after this time.
+     *
+     * An agent renews leases of 30 s for 5 s after its last list, and heartbeats are up to 10 s apart, so all leases
+     * have expired by then.
+     */
+    static constexpr Duration tasksUnknownAfter = std::chrono::seconds { 45 };
+    /*! @brief Silence after which nothing is kept of a disconnected agent. */
+    static constexpr Duration forgetAfter = std::chrono::minutes { 10 };
     /*! @brief A report counts as newer than a start when it arrives this long after the start was answered. */
     static constexpr Duration reportDelay = std::chrono::seconds { 3 };
     /*! @brief Time between two checkpoints of a running gang, which bounds the work that a failure loses. */
