Parse the example of the operators' page in a test; sort with a total order

Cause: the page's example could drift from the parser, and std::stable_sort uses a function that the linter reports as deprecated. Ruled out: a suppression, because time and revision already order the audit records and equal cells may be placed in any fixed order. Change: std::ranges::sort in both places, a test for the page's example. Conclusion: no change of behaviour.

--- a/src/lycheespool/document/cluster_capacity.cpp
+++ b/src/lycheespool/document/cluster_capacity.cpp
@@ -46,7 +46,7 @@
         for (const auto& it : workspace.guarantees)
             requests.push_back({ id, it });
     }
-    std::ranges::stable_sort(requests, std::greater {}, [](const Request& request) {
+    std::ranges::sort(requests, std::greater {}, [](const Request& request) {
         const auto& cell = request.cell;
         return std::tuple { std::uint64_t { cell.accelerators } * cell.tasks,
             std::uint64_t { cell.cores } * cell.tasks };
--- a/src/lycheespool/document/document_history.h
+++ b/src/lycheespool/document/document_history.h
@@ -68,7 +68,9 @@
             if (isLast)
                 break;
         }
-        std::ranges::stable_sort(records, std::ranges::greater {}, &AuditRecord::time);
+        std::ranges::sort(records, std::ranges::greater {}, [](const AuditRecord& record) {
+            return std::pair { record.time, record.revision };
+        });
         if (records.size() > query.limit)
             records.resize(query.limit);
         co_return records;
@@ -103,9 +105,8 @@
         const AuditQuery& query, const Rows& rows, std::vector<AuditRecord>& records)
     {
         std::optional<WallTime> oldest;
-        // Backwards, so that the records are in order when times are equal.
-        for (auto it = rows.rbegin(); it != rows.rend(); ++it) {
-            auto record = RecordCodec::decodeAudit(it->value);
+        for (const auto& it : rows) {
+            auto record = RecordCodec::decodeAudit(it.value);
             oldest = oldest ? std::min(*oldest, record.time) : record.time;
             if (query.matches(record))
                 records.push_back(std::move(record));
--- a/test/lycheespool/document/section_parser.cpp
+++ b/test/lycheespool/document/section_parser.cpp
@@ -27,9 +27,9 @@
 
 bool has(const std::string& text, const std::string& part) { return text.find(part) != std::string::npos; }
 
-std::string readExample()
+std::string readFile(const std::string& name)
 {
-    std::ifstream file { std::string { LYCHEESPOOL_SOURCE_DIR } + "/examples/document.toml" };
+    std::ifstream file { std::string { LYCHEESPOOL_SOURCE_DIR } + name };
     std::ostringstream text;
     text << file.rdbuf();
     return text.str();
@@ -40,7 +40,7 @@
 // Guards against an example that new users copy and that the program then refuses, and against a lossy split.
 TEST_CASE("the example document parses and survives splitting and joining")
 {
-    const auto sections = splitDocument(readExample());
+    const auto sections = splitDocument(readFile("/examples/document.toml"));
     const auto document = parseSections(sections);
     CHECK(document.zones.zones.size() == 3);
     CHECK(document.zonesOut().empty());
@@ -57,6 +57,19 @@
     CHECK(parseSections(again).workspaces == document.workspaces);
 }
 
+// Guards against an operators' page that shows a document which the program refuses.
+TEST_CASE("the example of the operators' page parses")
+{
+    const std::string fence = "```toml\n";
+    const auto page = readFile("/docs/document.md");
+    const auto start = page.find(fence);
+    REQUIRE(start != std::string::npos);
+    const auto text = page.substr(start + fence.size(), page.find("```", start + fence.size()) - start - fence.size());
+    const auto document = parseSections(splitDocument(text));
+    CHECK(document.zonesOut() == std::vector { ZoneId { "zone-2" } });
+    CHECK(document.workspaces.at(WorkspaceId { "training" }).guarantees.size() == 1);
+}
+
 // Guards against a typing error that is silently ignored, and against a message that does not lead to the line.
 TEST_CASE("a refusal names section, line, value and remedy")
 {
