Widen sums in the capacity test before the multiplication

Cause: the linter reports a multiplication in 32 bits that is added to 64. Ruled out: a suppression. Change: the factors are widened first. Conclusion: no change of behaviour.

--- a/test/lycheespool/document/validation.cpp
+++ b/test/lycheespool/document/validation.cpp
@@ -137,8 +137,8 @@
             const auto tasks = *rc::gen::inRange<std::uint32_t>(1, 5);
             const auto size = *rc::gen::inRange<std::uint32_t>(1, 4);
             workspace.guarantees.push_back({ adjacency, tasks, size * 4, 1024, size, std::nullopt });
-            accelerators += tasks * size;
-            cores += tasks * size * 4;
+            accelerators += std::uint64_t { tasks } * size;
+            cores += std::uint64_t { tasks } * size * 4;
         }
         document.workspaces[WorkspaceId { "a" }] = workspace;
         const bool fits = checkAgainst(threeWorkers())(document).empty();
