Test that held places are taken as soon as they are free

Cause: a variant of the planner that does not hold the room of claims passed all property tests.

Change: the cluster model checks after each step that a gang with a held place waits for an evicted gang there, or for the pace of a zone that has just returned.

--- a/test/lycheespool/placement/cluster_model.h
+++ b/test/lycheespool/placement/cluster_model.h
@@ -184,8 +184,10 @@
             m_policy.workerJoined(worker, m_now);
         if (event.kind == Kind::zoneOut && m_zonesOut.insert(worker.zone).second)
             m_policy.setZoneOut(worker.zone, true, m_now);
-        if (event.kind == Kind::zoneIn && m_zonesOut.erase(worker.zone))
+        if (event.kind == Kind::zoneIn && m_zonesOut.erase(worker.zone)) {
+            m_zoneReturned[worker.zone] = m_now;
             m_policy.setZoneOut(worker.zone, false, m_now);
+        }
         if (event.kind == Kind::wait)
             m_now += std::chrono::seconds { event.which % 600 };
         if (event.kind == Kind::guarantee)
@@ -272,6 +274,18 @@
         m_failed.insert(fail.job);
     }
 
+    // A place is held only while a gang that was evicted from it has not stopped, or its zone has just returned.
+    bool waitsForEvicted(const Assignment& place) const
+    {
+        const auto returned = m_zoneReturned.find(spec(place.front()).zone);
+        if (returned != m_zoneReturned.end() && m_now - returned->second < pacedTime)
+            return true;
+        return std::ranges::any_of(m_jobs, [&](const auto& it) {
+            const auto shares = [&](const WorkerId& id) { return std::ranges::count(it.second.workers, id) > 0; };
+            return it.second.evicting && std::ranges::any_of(place, shares);
+        });
+    }
+
     bool fitsEmptyCluster(const JobSpec& job) const
     {
         std::map<std::string, std::uint32_t> tasks;
@@ -322,6 +336,8 @@
                 const auto running = status.state == JobState::running || status.state == JobState::evicting;
                 RC_ASSERT(running == !job.workers.empty());
                 RC_ASSERT((status.state == JobState::evicting) == job.evicting);
+                const auto held = status.state == JobState::claiming;
+                RC_ASSERT(held == (held && waitsForEvicted(status.workers)));
             }
         }
     }
@@ -385,6 +401,7 @@
     std::vector<WorkerSpec> m_workers;
     std::set<WorkerId> m_present;
     std::set<ZoneId> m_zonesOut;
+    std::map<ZoneId, TimePoint> m_zoneReturned;
     Guarantees m_guarantees;
     std::map<JobId, Job> m_jobs;
     std::set<JobId> m_failed;
