Keep the message handler of EntryLink in a named local

Cause: readLoop() passed a lambda that converts to a temporary std::function inside the co_await expression. g++ 12 destroys that temporary twice when the suspended coroutine is destroyed, so the shared pointer in it is released twice. Ruled out: the order of destruction of pool and links; memcheck shows the second release inside one coroutine frame. Change: the handler is a named local that is moved into the call.

--- a/src/lycheespool/agent/entry_link.h
+++ b/src/lycheespool/agent/entry_link.h
@@ -140,8 +140,10 @@
     [[nodiscard]] Awaitable<> readLoop(std::shared_ptr<RpcConnection> connection)
     {
         const auto self = this->shared_from_this();
-        co_await connection->run(
-            [self](const auto& source, Envelope envelope) { self->m_endpoint.handle(source, std::move(envelope)); });
+        // Named, because g++ 12 destroys a temporary handler twice when the suspended coroutine is destroyed.
+        RpcConnection::Handler handler
+            = [self](const auto& source, Envelope envelope) { self->m_endpoint.handle(source, std::move(envelope)); };
+        co_await connection->run(std::move(handler));
     }
 
     [[nodiscard]] Awaitable<bool> greet()
