Reduce the read buffer of an RPC connection to 4 KiB

Cause: each connection holds a read buffer of 16 KiB, which is 90% of the memory of an agent at its entry. An entry with the 3,400 agents of a scheduling domain exceeds the limit of 64 MB. Ruled out: the directory and the metrics; the slope of 18.3 KiB per agent falls by the 12 KiB that the buffer lost. Change: 4 KiB at first; a larger frame still enlarges the buffer. Conclusion: one entry holds all agents of a domain within its limit.

--- a/src/lycheespool/net/rpc_connection.cpp
+++ b/src/lycheespool/net/rpc_connection.cpp
@@ -9,8 +9,9 @@
 
 namespace {
 
-// Small, because every agent and every entry holds one buffer per connection; grows when a frame needs it.
-constexpr std::size_t readBufferBytes = std::size_t { 16 } * 1024;
+// Small, because an entry holds one buffer for each of thousands of agents; grows when a frame needs it. With 16 KiB
+// the buffers of the 3,400 agents of a scheduling domain exceed the entry's memory limit of 64 MB on their own.
+constexpr std::size_t readBufferBytes = std::size_t { 4 } * 1024;
 
 }
 
