Measure 3,400 agents at one entry and six executors

Cause: the fit over 11 to 1,000 agents was not checked at the size of a scheduling domain, and four executors have as many slots as the load has connections, so routing alone refused requests. Ruled out: longer windows; the whole run must stay below ten minutes. Change: sizes and intervals of capacity.sh, six executors in request_cost.sh. Conclusion: extrapolation and measurement can be compared.

--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -7,9 +7,9 @@
 mkdir -p "$out"
 bin=build/release
 base=${BASE_PORT:-18080}
-long_sizes=11,100,400,1000
+sizes=11,100,400,1000
 windows=3
-[ "${QUICK:-0}" = 1 ] && long_sizes=11,100,400 && windows=1 && export REPEATS=${REPEATS:-1}
+[ "${QUICK:-0}" = 1 ] && sizes=11,100,400 && windows=1 && export REPEATS=${REPEATS:-1}
 cmake --preset release > /dev/null
 cmake --build --preset release -j "${JOBS:-3}" > "$out/build.log"
 {
@@ -26,9 +26,9 @@
 }
 run message_size "$bin/message_size"
 run table_rows "$bin/table_rows"
-run fan_in_500 "$bin/agent_fan_in" --interval-ms 500 --windows "$windows" --base-port $((base + 320))
-run fan_in_1000 "$bin/agent_fan_in" --interval-ms 1000 --windows "$windows" --base-port $((base + 320))
-run fan_in_10000 "$bin/agent_fan_in" --interval-ms 10000 --windows 1 --window-ms 20000 --restarts 1 \
-    --agents "$long_sizes" --base-port $((base + 320))
+run fan_in_500 "$bin/agent_fan_in" --agents "$sizes" --interval-ms 500 --windows "$windows" --base-port $((base + 320))
+run fan_in_1000 "$bin/agent_fan_in" --agents "$sizes,3400" --interval-ms 1000 --windows "$windows" --base-port $((base + 320))
+run fan_in_10000 "$bin/agent_fan_in" --agents "$sizes" --interval-ms 10000 --windows 2 --window-ms 10000 --restarts 1 \
+    --base-port $((base + 320))
 BASE_PORT=$base run request_cost scripts/request_cost.sh
 echo "load after $(cut -d' ' -f1-3 /proc/loadavg)" | tee -a "$out/run.txt"
--- a/scripts/request_cost.sh
+++ b/scripts/request_cost.sh
@@ -5,9 +5,9 @@
 cd "$(dirname "$0")/.."
 binary=${LYCHEESPOOL:-build/release/lycheespool}
 base=${BASE_PORT:-8080}
-executors=${EXECUTORS:-4}
+executors=${EXECUTORS:-6}
 repeats=${REPEATS:-5}
-duration_ms=${DURATION_MS:-3000}
+duration_ms=${DURATION_MS:-2500}
 rates=${RATES:-2500 5000 10000}
 connections=${CONNECTIONS:-32}
 # Each executor has this many slots; a direct run with more connections would be refused.
