Build only the measuring programs in capacity.sh

Cause: the script built all tests before it measured. Ruled out: a separate build directory; the release build is the one that is measured. Change: the build names its targets. Conclusion: the script starts to measure earlier.

--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -11,7 +11,7 @@
 windows=3
 [ "${QUICK:-0}" = 1 ] && sizes=11,100,400 && windows=1 && export REPEATS=${REPEATS:-1}
 cmake --preset release > /dev/null
-cmake --build --preset release -j "${JOBS:-3}" > "$out/build.log"
+cmake --build --preset release -j "${JOBS:-3}" --target lycheespool agent_fan_in message_size table_rows > "$out/build.log"
 {
     echo "date $(date -u +%Y-%m-%dT%H:%MZ)"
     echo "commit $(git rev-parse --short HEAD)$(git diff --quiet HEAD || echo ' with local changes')"
