Reconnect as soon as the connection to an entry ends

Cause: EntryLink noticed the end of its connection only when the next heartbeat was due, so agents stayed away from a restarted entry for one interval and 500 ms. Ruled out: the entry's start and the rate of its accepts; the time was the interval plus 0.5 s at 11 to 3,400 agents. Change: the end of the read loop cancels the wait for the next heartbeat. Conclusion: the return of agents no longer depends on the heartbeat interval when the entry's host closes the connection; a host that vanishes is still noticed by heartbeatTimeout only.

--- a/src/lycheespool/agent/entry_link.h
+++ b/src/lycheespool/agent/entry_link.h
@@ -126,10 +126,11 @@
         if (ec)
             co_return false;
         m_connection = std::make_shared<RpcConnection>(std::move(socket), m_metrics);
-        asio::co_spawn(executor, readLoop(m_connection), asio::detached);
+        const auto pause = std::make_shared<asio::steady_timer>(executor);
+        asio::co_spawn(executor, readLoop(m_connection, pause), asio::detached);
         const bool greeted = co_await greet();
         while (greeted && !m_stopped && m_connection->isOpen() && co_await exchangeHeartbeat())
-            co_await sleepFor(m_interval);
+            co_await awaitNextHeartbeat(pause);
         m_connection->close();
         m_connection.reset();
         if (greeted)
@@ -137,13 +138,26 @@
         co_return greeted;
     }
 
-    [[nodiscard]] Awaitable<> readLoop(std::shared_ptr<RpcConnection> connection)
+    /*! @brief Waits for the interval or for the end of the connection, whichever comes first. */
+    [[nodiscard]] Awaitable<> awaitNextHeartbeat(std::shared_ptr<asio::steady_timer> pause)
+    {
+        // A connection that has ended before this point cancels no wait any more.
+        if (!m_connection->isOpen())
+            co_return;
+        pause->expires_after(std::chrono::duration_cast<asio::steady_timer::duration>(m_interval));
+        boost::system::error_code ec;
+        co_await pause->async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    }
+
+    [[nodiscard]] Awaitable<> readLoop(
+        std::shared_ptr<RpcConnection> connection, std::shared_ptr<asio::steady_timer> pause)
     {
         const auto self = this->shared_from_this();
         // Named, because g++ 12 destroys a temporary handler twice when the suspended coroutine is destroyed.
         RpcConnection::Handler handler
             = [self](const auto& source, Envelope envelope) { self->m_endpoint.handle(source, std::move(envelope)); };
         co_await connection->run(std::move(handler));
+        pause->cancel();
     }
 
     [[nodiscard]] Awaitable<bool> greet()
