Use the planner in the leader; renew task leases only through the leader

Cause: the leader still placed by first fit; guarantees of the document had no effect. Ruled out: forwarding heartbeats between entries, which costs a message per agent and entry; a flag in the reply costs one byte. Change: planner with the document's guarantees, leader's report in the table and shown by every entry, audit of leader changes, lost guarantees and quarantines; HeartbeatReply.renewsLeases; pool before endpoint; CellSettings and PlacementState renamed; a guarantee bound to a zone is refused until placement supports it.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -15,7 +15,7 @@
 cmake --build --preset asan
 ctest --preset asan
 cmake --preset tsan
-cmake --build --preset tsan
+cmake --build --preset tsan --target test_core test_net test_request
 ctest --preset tsan -R '^(core|net|request)$'
 scripts/tidy.sh
 [ -f KNOWN-RED.txt ] && cat KNOWN-RED.txt
--- a/src/lycheespool/agent/entry_link.h
+++ b/src/lycheespool/agent/entry_link.h
@@ -116,6 +116,15 @@
     }
 
 private:
+    [[nodiscard]] static HeartbeatReply asHeartbeatReply(const HelloReply& hello)
+    {
+        HeartbeatReply reply;
+        reply.epoch = hello.epoch;
+        reply.freshness = hello.freshness;
+        reply.renewsLeases = hello.renewsLeases;
+        return reply;
+    }
+
     [[nodiscard]] Awaitable<bool> connectAndServe()
     {
         const auto executor = co_await asio::this_coro::executor;
@@ -164,8 +173,10 @@
     {
         auto hello = m_endpoint.hello();
         const auto connection = m_connection;
+        const auto sent = SteadyClock {}.now();
         try {
             const auto reply = co_await connection->template call<HelloReply>(std::move(hello), heartbeatTimeout);
+            m_endpoint.received(asHeartbeatReply(reply), sent);
             log(LogLevel::info, "connected to entry {} at {}", reply.entry.value(), m_address.toString());
             m_entriesHandler(reply.entries);
             co_return true;
--- a/src/lycheespool/agent/worker_tasks.h
+++ b/src/lycheespool/agent/worker_tasks.h
@@ -81,9 +81,11 @@
     void received(const HeartbeatReply& reply, TimePoint sent)
     {
         m_epoch = std::max(m_epoch, reply.epoch);
+        m_proof.observe(reply.freshness, sent);
+        if (!reply.renewsLeases)
+            return;
         m_lastReply = std::max(m_lastReply, sent);
         m_answered = true;
-        m_proof.observe(reply.freshness, sent);
     }
 
     /*! @brief Renews the leases at the worker up to leaseTime after the last answered heartbeat was sent. */
--- a/src/lycheespool/cli/role_agent.cpp
+++ b/src/lycheespool/cli/role_agent.cpp
@@ -66,8 +66,9 @@
     executor.slots = static_cast<std::uint32_t>(parser.number("slots"));
     executor.executor = parseAddress(parser.required("endpoint"));
     Metrics metrics;
-    ExecutorEndpoint endpoint { std::move(executor), metrics };
+    // The pool must outlive the endpoint, whose idle connections refer to its context.
     IoPool pool { 1 };
+    ExecutorEndpoint endpoint { std::move(executor), metrics };
     AgentProcess<ExecutorEndpoint> agent { pool, std::move(settings), endpoint, metrics };
     return runBeside(agent, pool, parser, metrics);
 }
--- a/src/lycheespool/document/guaranteed_cell.h
+++ b/src/lycheespool/document/cell_settings.h
@@ -9,7 +9,7 @@
 namespace lycheespool {
 
 /*! @brief One cell of a workspace's guaranteed shape: equal tasks that are adjacent. */
-struct GuaranteedCell {
+struct CellSettings {
     CellAdjacency adjacency { CellAdjacency::zone };
     std::uint32_t tasks { 1 };
     /*! @brief Processor cores of each task. */
@@ -21,7 +21,7 @@
     /*! @brief Zone that must hold the cell; any zone when absent. */
     std::optional<ZoneId> zone;
 
-    friend bool operator==(const GuaranteedCell&, const GuaranteedCell&) = default;
+    friend bool operator==(const CellSettings&, const CellSettings&) = default;
 };
 
 }
--- a/src/lycheespool/document/cluster_capacity.cpp
+++ b/src/lycheespool/document/cluster_capacity.cpp
@@ -25,7 +25,7 @@
 
 struct Request {
     WorkspaceId workspace;
-    GuaranteedCell cell;
+    CellSettings cell;
 };
 
 Workers workersInService(const std::vector<WorkerGroup>& groups, const Document& document)
@@ -68,20 +68,20 @@
     return worker.zone.value();
 }
 
-std::int64_t tasksThatFit(const Worker& worker, const GuaranteedCell& cell)
+std::int64_t tasksThatFit(const Worker& worker, const CellSettings& cell)
 {
     auto n = std::min(worker.cores / cell.cores, worker.memoryMiB / cell.memoryMiB);
     return cell.accelerators == 0 ? n : std::min(n, worker.accelerators / cell.accelerators);
 }
 
-void take(Worker& worker, const GuaranteedCell& cell, std::int64_t tasks)
+void take(Worker& worker, const CellSettings& cell, std::int64_t tasks)
 {
     worker.cores -= tasks * cell.cores;
     worker.memoryMiB -= tasks * cell.memoryMiB;
     worker.accelerators -= tasks * cell.accelerators;
 }
 
-bool placeOn(Workers& workers, const std::vector<std::size_t>& members, const GuaranteedCell& cell)
+bool placeOn(Workers& workers, const std::vector<std::size_t>& members, const CellSettings& cell)
 {
     std::int64_t room = 0;
     for (const auto it : members)
@@ -97,7 +97,7 @@
     return true;
 }
 
-bool place(Workers& workers, const GuaranteedCell& cell)
+bool place(Workers& workers, const CellSettings& cell)
 {
     std::map<std::string, std::vector<std::size_t>> groups;
     for (std::size_t i = 0; i < workers.size(); ++i) {
@@ -107,7 +107,7 @@
     return std::ranges::any_of(groups, [&](const auto& it) { return placeOn(workers, it.second, cell); });
 }
 
-std::string describe(const GuaranteedCell& cell)
+std::string describe(const CellSettings& cell)
 {
     return fmt::format("a cell of {} tasks with {} cores, {} MiB and {} accelerators each does not fit", cell.tasks,
         cell.cores, cell.memoryMiB, cell.accelerators);
--- a/src/lycheespool/document/schema_1.cpp
+++ b/src/lycheespool/document/schema_1.cpp
@@ -225,10 +225,10 @@
     return zones;
 }
 
-GuaranteedCell readCell(const TableReader& reader)
+CellSettings readCell(const TableReader& reader)
 {
     reader.allow({ "adjacency", "tasks", "cores", "memory_gib", "accelerators", "zone" });
-    GuaranteedCell cell;
+    CellSettings cell;
     cell.adjacency = reader.adjacency();
     cell.tasks = reader.requiredNumber("tasks", { 1, maxTasks });
     cell.cores = reader.requiredNumber("cores", { 1, maxCores });
--- a/src/lycheespool/document/workspace_settings.h
+++ b/src/lycheespool/document/workspace_settings.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "lycheespool/core/ids.h"
-#include "lycheespool/document/guaranteed_cell.h"
+#include "lycheespool/document/cell_settings.h"
 #include "lycheespool/document/queue_limits.h"
 
 #include <cstdint>
@@ -18,7 +18,7 @@
     /*! @brief Order between workspaces when both borrow; higher goes first. */
     std::uint32_t priority { 100 };
     QueueLimits queue;
-    std::vector<GuaranteedCell> guarantees;
+    std::vector<CellSettings> guarantees;
 
     friend bool operator==(const WorkspaceSettings&, const WorkspaceSettings&) = default;
 };
--- a/src/lycheespool/entry/document_api.h
+++ b/src/lycheespool/entry/document_api.h
@@ -2,11 +2,13 @@
 
 #include "lycheespool/core/error.h"
 #include "lycheespool/document/document_store.h"
+#include "lycheespool/document/section_parser.h"
 #include "lycheespool/entry/document_json.h"
 #include "lycheespool/net/http_message.h"
 #include "lycheespool/net/http_server.h"
 #include "lycheespool/store/table.h"
 
+#include <algorithm>
 #include <functional>
 #include <string>
 #include <utility>
@@ -78,10 +80,28 @@
     [[nodiscard]] Awaitable<HttpResponse> edit(SectionId section, HttpRequest request)
     {
         auto wanted = DocumentJson::readEdit(std::move(section), std::move(request));
+        refuseZoneOfGuarantee(wanted);
         auto result = co_await m_store.apply(std::move(wanted));
         co_return co_await answer(std::move(result));
     }
 
+    /*! @brief The placement policy does not bind guarantees to zones, so a text that asks for it must not be accepted.
+     */
+    static void refuseZoneOfGuarantee(const Edit& wanted)
+    {
+        if (wanted.text.empty() || kindOf(wanted.section) != SectionKind::workspace)
+            return;
+        Document document;
+        parseSection({ wanted.section, wanted.text, wanted.schema }, document);
+        for (const auto& [id, workspace] : document.workspaces) {
+            const auto bound = [](const CellSettings& cell) { return cell.zone.has_value(); };
+            if (std::ranges::any_of(workspace.guarantees, bound))
+                throw Error { ErrorKind::invalidArgument,
+                    "section " + wanted.section.value() + ": a guarantee cannot be bound to a zone yet",
+                    "remove the field zone from the guarantee" };
+        }
+    }
+
     [[nodiscard]] Awaitable<HttpResponse> showOutcome(HttpRequest request)
     {
         auto ticket = DocumentJson::readTicket(request);
--- a/src/lycheespool/entry/entry_process.cpp
+++ b/src/lycheespool/entry/entry_process.cpp
@@ -4,6 +4,7 @@
 #include "lycheespool/core/log.h"
 #include "lycheespool/document/cluster_capacity.h"
 #include "lycheespool/document/freshness.h"
+#include "lycheespool/entry/guarantees.h"
 #include "lycheespool/entry/request_api.h"
 #include "lycheespool/net/sleep.h"
 
@@ -113,7 +114,7 @@
     if (request.path == "/metrics")
         co_return text(m_metrics.render());
     if (request.path == "/v1/status")
-        co_return status();
+        co_return co_await status();
     throw unknownPath(request);
 }
 
@@ -172,6 +173,7 @@
     if (!state->document || state->head.revision <= m_applied)
         return;
     m_applied = state->head.revision;
+    m_scheduler.setGuarantees(toGuarantees(*state->document));
     const auto zones = state->document->zonesOut();
     m_requests.setZonesOut(ZoneSet { zones.begin(), zones.end() });
     m_scheduler.post([zones, revision = m_applied](
@@ -198,8 +200,24 @@
 
 Freshness EntryProcess::freshness() const { return toFreshness(*m_document.state(), m_clock.now()); }
 
-HttpResponse EntryProcess::status() const
+bool EntryProcess::mayRenewLeases() const
 {
+    // While the table answers, only the leader renews: it declares a worker lost by the heartbeats that it hears
+    // itself, and a lease renewed by another entry would outlive that. Without the table nobody is declared lost.
+    return m_scheduler.isLeader() || !m_document.isFresh(m_clock.now());
+}
+
+Awaitable<HttpResponse> EntryProcess::status()
+{
+    auto scheduler = nlohmann::json();
+    try {
+        const auto key = leaderReportKey(m_settings.domain);
+        const auto row = co_await m_table.get(key);
+        if (row.exists())
+            scheduler = nlohmann::json::parse(row.value, nullptr, false);
+    } catch (const Error& error) {
+        scheduler = std::string { "not known: " } + error.what();
+    }
     auto executors = nlohmann::json::array();
     for (const auto& it : *m_membership.nodes().load()) {
         executors.push_back({ { "agent", it->agent.value() }, { "zone", it->zone.value() }, { "slots", it->slots },
@@ -208,11 +226,11 @@
     HttpResponse response;
     response.body = nlohmann::json {
         { "entry", m_settings.id.value() }, { "entries", m_registry.entries() }, { "tableDown", m_table.isDown() },
-        { "leader", m_scheduler.isLeader() }, { "document", describeDocument(*m_document.state(), m_clock.now()) },
-        { "executors", executors }
+        { "leader", m_scheduler.isLeader() }, { "scheduler", scheduler },
+        { "document", describeDocument(*m_document.state(), m_clock.now()) }, { "executors", executors }
     }.dump(2);
     response.body += '\n';
-    return response;
+    co_return response;
 }
 
 void EntryProcess::receive(const std::shared_ptr<RpcConnection>& connection, Envelope envelope)
@@ -240,6 +258,7 @@
         m_scheduler.post([hello](auto& scheduler) { scheduler.onHello(hello.agent, hello, SteadyClock {}.now()); });
     log(LogLevel::info, "agent {} joined from zone {}", hello.agent.value(), hello.zone.value());
     HelloReply reply;
+    reply.renewsLeases = mayRenewLeases();
     reply.entry = m_settings.id;
     reply.entries = m_registry.entries();
     reply.epoch = m_scheduler.newestEpoch();
@@ -260,6 +279,7 @@
                              auto& scheduler) { scheduler.onHeartbeat(agent, heartbeat, SteadyClock {}.now()); });
     }
     HeartbeatReply reply;
+    reply.renewsLeases = mayRenewLeases();
     reply.epoch = m_scheduler.newestEpoch();
     reply.freshness = freshness();
     reply.entries = m_registry.entries();
--- a/src/lycheespool/entry/entry_process.h
+++ b/src/lycheespool/entry/entry_process.h
@@ -11,7 +11,6 @@
 #include "lycheespool/entry/scheduler_host.h"
 #include "lycheespool/net/http_server.h"
 #include "lycheespool/net/rpc_server.h"
-#include "lycheespool/placement/first_fit.h"
 #include "lycheespool/request/membership.h"
 #include "lycheespool/request/request_path.h"
 #include "lycheespool/store/http_table.h"
@@ -56,12 +55,13 @@
     [[nodiscard]] Awaitable<HttpResponse> serve(HttpRequest request);
     [[nodiscard]] Awaitable<HttpResponse> serveWorkspace(HttpRequest request);
     [[nodiscard]] Awaitable<HttpResponse> serveJob(HttpRequest request);
-    [[nodiscard]] HttpResponse status() const;
+    [[nodiscard]] Awaitable<HttpResponse> status();
     [[nodiscard]] Awaitable<> watchDocument();
     [[nodiscard]] Awaitable<> readDocument();
     void applyDocument();
     [[nodiscard]] EditPolicy editPolicy();
     [[nodiscard]] Freshness freshness() const;
+    [[nodiscard]] bool mayRenewLeases() const;
     void receive(const std::shared_ptr<RpcConnection>& connection, Envelope envelope);
     void receiveHello(const std::shared_ptr<RpcConnection>& connection, const Envelope& envelope);
     void receiveHeartbeat(const std::shared_ptr<RpcConnection>& connection, const Envelope& envelope);
@@ -76,7 +76,7 @@
     AgentDirectory m_agents;
     RequestPath<HttpTable> m_requests;
     JobApi<HttpTable> m_jobs;
-    SchedulerHost<FirstFit, HttpTable> m_scheduler;
+    SchedulerHost<HttpTable> m_scheduler;
     RpcServer m_rpc;
     HttpServer m_http;
     EntryRegistry<HttpTable> m_registry;
--- a/src/lycheespool/entry/scheduler_host.h
+++ b/src/lycheespool/entry/scheduler_host.h
@@ -2,10 +2,12 @@
 
 #include "lycheespool/core/log.h"
 #include "lycheespool/core/metrics.h"
+#include "lycheespool/document/audit_log.h"
 #include "lycheespool/entry/agent_directory.h"
+#include "lycheespool/entry/leader_reporter.h"
 #include "lycheespool/net/io_pool.h"
 #include "lycheespool/net/sleep.h"
-#include "lycheespool/placement/placement_policy.h"
+#include "lycheespool/placement/planner.h"
 #include "lycheespool/scheduler/scheduler.h"
 #include "lycheespool/store/table.h"
 
@@ -17,14 +19,13 @@
 
 /**
  * @brief Runs the scheduler of an entry on the control thread and passes agents' messages to it from any thread.
- * @tparam Policy Model of PlacementPolicy.
  * @tparam TableType Model of Table.
  */
-template <PlacementPolicy Policy, Table TableType>
+template <Table TableType>
 class SchedulerHost {
 public:
     /*! @brief Type of the scheduler. */
-    using SchedulerType = Scheduler<Policy, TableType, AgentDirectory>;
+    using SchedulerType = Scheduler<Planner, TableType, AgentDirectory>;
     /*! @brief Time between two steps; adds to the start time of urgent work. */
     static constexpr Duration stepInterval = std::chrono::milliseconds { 100 };
 
@@ -39,16 +40,36 @@
     SchedulerHost(asio::io_context& context, const SchedulerSettings& settings, TableType& table,
         AgentDirectory& agents, Metrics& metrics)
         : m_context { context }
-        , m_scheduler { context.get_executor(), settings, [] { return std::make_unique<Policy>(); }, table, agents,
-            metrics }
+        , m_audit { table, settings.entry, settings.incarnation, metrics }
+        , m_reporter { table, m_audit, settings.entry, settings.domain }
+        , m_scheduler { context.get_executor(), settings, [this] { return makePlanner(); }, table, agents, metrics }
     {
     }
 
     /*! @brief Starts to step. */
-    void start() { asio::co_spawn(m_context, run(), asio::detached); }
+    void start()
+    {
+        asio::co_spawn(m_context, run(), asio::detached);
+        asio::co_spawn(m_context, m_audit.run(), asio::detached);
+    }
 
     /*! @brief Stops to step; the lease runs out by itself. */
-    void stop() { m_stopped = true; }
+    void stop()
+    {
+        m_stopped = true;
+        m_audit.stop();
+    }
+
+    /**
+     * @brief Replaces the guarantees; on the control thread.
+     * @param guarantees The guarantees.
+     */
+    void setGuarantees(Guarantees guarantees)
+    {
+        m_guarantees = std::move(guarantees);
+        if (auto* planner = m_scheduler.policy())
+            planner->setGuarantees(m_guarantees, SteadyClock {}.now());
+    }
 
     /**
      * @brief Calls a function of the scheduler on its thread.
@@ -74,6 +95,13 @@
     [[nodiscard]] Epoch newestEpoch() const { return Epoch { m_epoch.load() }; }
 
 private:
+    [[nodiscard]] std::unique_ptr<Planner> makePlanner() const
+    {
+        auto planner = std::make_unique<Planner>();
+        planner->setGuarantees(m_guarantees, SteadyClock {}.now());
+        return planner;
+    }
+
     [[nodiscard]] Awaitable<> run()
     {
         while (!m_stopped) {
@@ -81,11 +109,16 @@
             co_await m_scheduler.step(now);
             m_epoch = m_scheduler.newestEpoch().value();
             m_leader = m_scheduler.isLeader();
+            if (m_leader)
+                co_await m_reporter.report(*m_scheduler.policy(), m_scheduler.newestEpoch(), now);
             co_await sleepFor(stepInterval);
         }
     }
 
     asio::io_context& m_context;
+    Guarantees m_guarantees;
+    AuditLog<TableType> m_audit;
+    LeaderReporter<TableType> m_reporter;
     SchedulerType m_scheduler;
     std::atomic<std::uint64_t> m_epoch { 0 };
     std::atomic<bool> m_leader { false };
--- a/src/lycheespool/placement/explanation.h
+++ b/src/lycheespool/placement/explanation.h
@@ -11,7 +11,7 @@
 
 /*! @brief Why a job waits or runs, for operators. */
 struct Explanation {
-    JobState state { JobState::waiting };
+    PlacementState state { PlacementState::waiting };
     std::string reason;
     /*! @brief Gangs that reclaiming the job's guarantee would evict, or whose end it waits for. */
     std::vector<JobId> victims;
--- a/src/lycheespool/placement/first_fit.cpp
+++ b/src/lycheespool/placement/first_fit.cpp
@@ -7,13 +7,13 @@
 
 void FirstFit::submit(const JobSpec& spec, TimePoint)
 {
-    if (m_jobs.try_emplace(spec.id, JobState { spec, {} }).second)
+    if (m_jobs.try_emplace(spec.id, PlacementState { spec, {} }).second)
         m_queue.push_back(spec.id);
 }
 
 void FirstFit::adopt(const JobSpec& spec, const Assignment& workers, TimePoint)
 {
-    const auto [it, inserted] = m_jobs.try_emplace(spec.id, JobState { spec, {} });
+    const auto [it, inserted] = m_jobs.try_emplace(spec.id, PlacementState { spec, {} });
     if (!inserted)
         std::erase(m_queue, spec.id);
     vacate(it->second);
@@ -100,7 +100,7 @@
     return {};
 }
 
-void FirstFit::occupy(JobState& job, Assignment workers)
+void FirstFit::occupy(PlacementState& job, Assignment workers)
 {
     job.workers = std::move(workers);
     for (const auto& it : job.workers) {
@@ -110,7 +110,7 @@
     }
 }
 
-void FirstFit::vacate(JobState& job)
+void FirstFit::vacate(PlacementState& job)
 {
     for (const auto& it : std::exchange(job.workers, {})) {
         const auto worker = m_workers.find(it);
--- a/src/lycheespool/placement/first_fit.h
+++ b/src/lycheespool/placement/first_fit.h
@@ -33,19 +33,19 @@
         Resources free;
     };
 
-    struct JobState {
+    struct PlacementState {
         JobSpec spec;
         Assignment workers;
     };
 
     [[nodiscard]] Assignment findRoom(const JobSpec& spec) const;
     [[nodiscard]] Assignment findRoomIn(const JobSpec& spec, const ZoneId& zone, const RackId* rack) const;
-    void occupy(JobState& job, Assignment workers);
-    void vacate(JobState& job);
+    void occupy(PlacementState& job, Assignment workers);
+    void vacate(PlacementState& job);
     void remove(const JobId& job);
 
     std::map<WorkerId, WorkerState> m_workers;
-    std::map<JobId, JobState> m_jobs;
+    std::map<JobId, PlacementState> m_jobs;
     std::deque<JobId> m_queue;
     std::set<ZoneId> m_zonesOut;
 };
--- a/src/lycheespool/placement/job_status.h
+++ b/src/lycheespool/placement/job_status.h
@@ -10,7 +10,7 @@
 struct JobStatus {
     JobId job;
     WorkspaceId workspace;
-    JobState state { JobState::waiting };
+    PlacementState state { PlacementState::waiting };
     /*! @brief Whether a placed job is inside its workspace's guarantee. */
     bool guaranteed { false };
     Assignment workers;
--- a/src/lycheespool/placement/planner.cpp
+++ b/src/lycheespool/placement/planner.cpp
@@ -24,7 +24,7 @@
     else
         dequeue(job);
     vacate(job);
-    occupy(job, placementOf(workers), JobState::running);
+    occupy(job, placementOf(workers), PlacementState::running);
     m_jobs[job].startedAt = now;
     m_jobs[job].checkpointAt = now;
     m_jobs[job].interrupted = true;
@@ -43,7 +43,7 @@
     if (index == noIndex)
         return;
     const auto& job = m_jobs[index];
-    if (job.state == JobState::running && !job.interrupted)
+    if (job.state == PlacementState::running && !job.interrupted)
         m_estimates.record(job.workspace, job.kind, job.declaredRunTime, now - job.startedAt);
     noteSuccess(job);
     removeJob(index);
@@ -52,7 +52,7 @@
 void Planner::released(const JobId& id, TimePoint now)
 {
     const auto job = findJob(id);
-    if (job == noIndex || m_jobs[job].state == JobState::waiting)
+    if (job == noIndex || m_jobs[job].state == PlacementState::waiting)
         return;
     vacate(job);
     m_jobs[job].interrupted = true;
@@ -254,7 +254,7 @@
 void Planner::enqueue(Index index)
 {
     auto& job = m_jobs[index];
-    job.state = JobState::waiting;
+    job.state = PlacementState::waiting;
     job.queueKey = queueKey(job.urgency, job.since, estimate(job));
     m_queue.emplace(job.queueKey, index);
     m_unchecked.insert(index);
--- a/src/lycheespool/placement/planner.h
+++ b/src/lycheespool/placement/planner.h
@@ -140,7 +140,7 @@
     [[nodiscard]] Amount placeable(Index worker) const;
 
     // Places of jobs.
-    void occupy(Index job, Placement place, JobState state);
+    void occupy(Index job, Placement place, PlacementState state);
     void vacate(Index job);
     void charge(Index job, Placement covered);
     void demote(Index job);
--- a/src/lycheespool/placement/planner_capacity.cpp
+++ b/src/lycheespool/placement/planner_capacity.cpp
@@ -43,7 +43,7 @@
         for (const auto cell : m_book.cellsOn(worker))
             unbindCell(cell);
         for (const auto job : std::vector(m_loads[worker].jobs)) {
-            if (m_jobs[job].state == JobState::claiming)
+            if (m_jobs[job].state == PlacementState::claiming)
                 unclaim(job);
         }
     }
@@ -57,7 +57,7 @@
     refreshOffer(worker);
 }
 
-void Planner::occupy(Index index, Placement place, JobState state)
+void Planner::occupy(Index index, Placement place, PlacementState state)
 {
     auto& job = m_jobs[index];
     job.place = std::move(place);
@@ -65,13 +65,13 @@
     m_loads.resize(m_topology.workers().size());
     for (const auto& share : job.place) {
         auto& load = m_loads[share.worker];
-        auto& account = state == JobState::claiming ? load.claimed : load.used;
+        auto& account = state == PlacementState::claiming ? load.claimed : load.used;
         account += job.shape.perTask * static_cast<std::int32_t>(share.tasks);
         if (load.jobs.empty() || load.jobs.back() != index)
             load.jobs.push_back(index);
         refresh(share.worker);
     }
-    if (state == JobState::claiming)
+    if (state == PlacementState::claiming)
         m_claims.insert(index);
     if (!job.place.empty() && job.place.front().cell != noIndex)
         charge(index, job.place);
@@ -89,7 +89,7 @@
     m_jobs[placed.back()].placedAt = job.placedAt;
     placed[job.placedAt] = placed.back();
     placed.pop_back();
-    const auto claimed = job.state == JobState::claiming;
+    const auto claimed = job.state == PlacementState::claiming;
     for (const auto& share : std::exchange(job.place, {})) {
         auto& load = m_loads[share.worker];
         auto& account = claimed ? load.claimed : load.used;
--- a/src/lycheespool/placement/planner_drain.cpp
+++ b/src/lycheespool/placement/planner_drain.cpp
@@ -18,7 +18,8 @@
 void Planner::drainZone(Index zone, TimePoint now)
 {
     auto gangs = gangsIn(zone);
-    const auto running = std::ranges::partition(gangs, [&](Index it) { return m_jobs[it].state != JobState::running; });
+    const auto running
+        = std::ranges::partition(gangs, [&](Index it) { return m_jobs[it].state != PlacementState::running; });
     const auto evicting = static_cast<std::size_t>(std::ranges::distance(gangs.begin(), running.begin()));
     std::ranges::sort(running, {}, [&](Index it) { return -m_jobs[it].unsavedWork(now); });
     const auto room = maxDrainsAtOnce - std::min(evicting, maxDrainsAtOnce);
--- a/src/lycheespool/placement/planner_evictions.cpp
+++ b/src/lycheespool/placement/planner_evictions.cpp
@@ -66,7 +66,7 @@
         std::vector<std::pair<double, Index>> candidates;
         for (const auto index : m_loads[worker].jobs) {
             const auto& job = m_jobs[index];
-            if (job.state == JobState::evicting || std::ranges::find(victims, index) != victims.end())
+            if (job.state == PlacementState::evicting || std::ranges::find(victims, index) != victims.end())
                 room += usedBy(job, worker);
             else if (canEvict(job))
                 candidates.emplace_back(lossOf({ index }, now), index);
@@ -96,7 +96,7 @@
 {
     double loss = 0;
     for (const auto it : victims)
-        loss += m_jobs[it].state == JobState::claiming ? 0 : m_jobs[it].unsavedWork(now);
+        loss += m_jobs[it].state == PlacementState::claiming ? 0 : m_jobs[it].unsavedWork(now);
     return loss;
 }
 
@@ -105,19 +105,19 @@
     for (const auto victim : victims)
         evict(victim, reason);
     dequeue(index);
-    occupy(index, std::move(place), JobState::claiming);
+    occupy(index, std::move(place), PlacementState::claiming);
     startClaim(index, now);
 }
 
 void Planner::evict(Index index, const std::string& reason)
 {
     auto& job = m_jobs[index];
-    if (job.state == JobState::claiming) {
+    if (job.state == PlacementState::claiming) {
         unclaim(index);
         return;
     }
     demote(index);
-    job.state = JobState::evicting;
+    job.state = PlacementState::evicting;
     m_decisions.emplace_back(EvictGang { job.id, reason });
 }
 
--- a/src/lycheespool/placement/planner_explain.cpp
+++ b/src/lycheespool/placement/planner_explain.cpp
@@ -13,13 +13,13 @@
         return std::nullopt;
     const auto& job = m_jobs[index];
     Explanation found { job.state, {}, {}, 0, {} };
-    if (job.state == JobState::waiting)
+    if (job.state == PlacementState::waiting)
         explainWait(index, now, found);
-    if (job.state == JobState::running)
+    if (job.state == PlacementState::running)
         found.reason = job.guaranteed ? "runs inside the guarantee of its workspace" : "runs as borrowed work";
-    if (job.state == JobState::evicting)
+    if (job.state == PlacementState::evicting)
         found.reason = "is being stopped and returns to the queue";
-    if (job.state == JobState::claiming) {
+    if (job.state == PlacementState::claiming) {
         found.reason = "has a place and waits until the gangs that were evicted from it have stopped";
         for (const auto& share : job.place)
             nameEvicting(share.worker, found.victims);
@@ -52,7 +52,7 @@
 {
     for (const auto other : m_loads[worker].jobs) {
         const auto& id = m_jobs[other].id;
-        if (m_jobs[other].state == JobState::evicting && std::ranges::find(names, id) == names.end())
+        if (m_jobs[other].state == PlacementState::evicting && std::ranges::find(names, id) == names.end())
             names.push_back(id);
     }
 }
--- a/src/lycheespool/placement/planner_faults.cpp
+++ b/src/lycheespool/placement/planner_faults.cpp
@@ -84,7 +84,7 @@
     m_firstPlan = m_firstPlan.value_or(now);
     const auto settled = now - *m_firstPlan >= settlingTime;
     for (const auto index : settled ? std::exchange(m_unchecked, {}) : m_unchecked) {
-        if (m_jobs[index].state != JobState::waiting)
+        if (m_jobs[index].state != PlacementState::waiting)
             continue;
         const auto reason = whyHopeless(index, settled);
         if (reason.empty())
--- a/src/lycheespool/placement/planner_guarantees.cpp
+++ b/src/lycheespool/placement/planner_guarantees.cpp
@@ -93,7 +93,7 @@
         return;
     for (const auto index : placedJobsOf(workspace, m_book.workersOf(workspace))) {
         const auto& job = m_jobs[index];
-        if (job.guaranteed || job.state == JobState::evicting)
+        if (job.guaranteed || job.state == PlacementState::evicting)
             continue;
         auto covered = m_book.cover(workspace, job.place, job.shape.perTask);
         if (!covered.empty())
@@ -130,7 +130,7 @@
 
 bool Planner::couldCover(const GangShape& shape, const PlannerJob& job) const
 {
-    if (job.state != JobState::running || job.guaranteed || job.shape.tasks != shape.tasks)
+    if (job.state != PlacementState::running || job.guaranteed || job.shape.tasks != shape.tasks)
         return false;
     if (!job.shape.perTask.fitsInto(shape.perTask) || job.shape.adjacency > shape.adjacency)
         return false;
--- a/src/lycheespool/placement/planner_job.h
+++ b/src/lycheespool/placement/planner_job.h
@@ -6,7 +6,7 @@
 namespace lycheespool {
 
 /*! @brief What a planner knows about a job's run. */
-enum class JobState : std::uint8_t {
+enum class PlacementState : std::uint8_t {
     /*! @brief In the queue. */
     waiting,
     /*! @brief Has a place that is held for it until the gangs evicted from there have stopped. */
@@ -36,7 +36,7 @@
     /*! @brief Position among the placed jobs of the workspace. */
     Index placedAt { noIndex };
     Urgency urgency { Urgency::normal };
-    JobState state { JobState::waiting };
+    PlacementState state { PlacementState::waiting };
     /*! @brief Inside the workspace's guarantee; otherwise a placed job is borrowed work. */
     bool guaranteed { false };
     /*! @brief Uses a place that is reserved for another job. */
--- a/src/lycheespool/placement/planner_queue.cpp
+++ b/src/lycheespool/placement/planner_queue.cpp
@@ -27,7 +27,7 @@
     const auto canEvict = [&](const PlannerJob& it) {
         const auto overstays = it.backfilled && now >= m_reservation.at;
         const auto yields = aged && it.urgency != Urgency::urgent && now - it.startedAt >= minimumRun;
-        return !it.guaranteed && it.state == JobState::running && (overstays || yields);
+        return !it.guaranteed && it.state == PlacementState::running && (overstays || yields);
     };
     const auto best = cheapest({ m_reservation.place }, job.shape.perTask, now, canEvict);
     if (!best)
@@ -43,7 +43,7 @@
     if (!urgent && now - job.waitingFrom < agingLimit)
         return false;
     const auto canEvict = [&](const PlannerJob& it) {
-        const auto borrowed = !it.guaranteed && it.state == JobState::running && it.urgency != Urgency::urgent;
+        const auto borrowed = !it.guaranteed && it.state == PlacementState::running && it.urgency != Urgency::urgent;
         return borrowed && (urgent || now - it.startedAt >= minimumRun);
     };
     const auto room = [&](Index worker) {
@@ -74,7 +74,7 @@
 
 void Planner::reserveFor(Index index, TimePoint now)
 {
-    if (m_reservation.job != noIndex || m_jobs[index].state != JobState::waiting)
+    if (m_reservation.job != noIndex || m_jobs[index].state != PlacementState::waiting)
         return;
     if (m_reservationTriedAt && now - *m_reservationTriedAt < reservationPeriod)
         return;
@@ -115,8 +115,8 @@
             const auto& job = m_jobs[index];
             const auto elapsed = now - job.startedAt;
             const auto left = std::max<Duration>(estimate(job) - elapsed, elapsed / overrunDivisor);
-            if (job.state != JobState::claiming)
-                ends.emplace_back(job.state == JobState::evicting ? now : now + left, index);
+            if (job.state != PlacementState::claiming)
+                ends.emplace_back(job.state == PlacementState::evicting ? now : now + left, index);
         }
     }
     std::ranges::sort(ends);
@@ -149,7 +149,7 @@
     if (m_reservation.job == noIndex)
         return;
     const auto usable = [&](const Share& share) { return offered(share.worker); };
-    if (m_jobs[m_reservation.job].state != JobState::waiting || !std::ranges::all_of(m_reservation.place, usable))
+    if (m_jobs[m_reservation.job].state != PlacementState::waiting || !std::ranges::all_of(m_reservation.place, usable))
         m_reservation = {};
 }
 
--- a/src/lycheespool/placement/planner_starts.cpp
+++ b/src/lycheespool/placement/planner_starts.cpp
@@ -56,7 +56,7 @@
 void Planner::begin(Index index, Placement place, TimePoint now)
 {
     dequeue(index);
-    occupy(index, std::move(place), JobState::running);
+    occupy(index, std::move(place), PlacementState::running);
     auto& job = m_jobs[index];
     job.startedAt = now;
     job.checkpointAt = now;
--- a/src/lycheespool/scheduler/detail/scheduler_gangs.h
+++ b/src/lycheespool/scheduler/detail/scheduler_gangs.h
@@ -201,6 +201,8 @@
     const auto least = std::ranges::min(outcomes, {}, &OrderOutcome::progressMs).progressMs;
     job->record.checkpoint = std::max<Duration>(job->record.checkpoint, std::chrono::milliseconds { least });
     job->dirty = true;
+    if constexpr (requires { m_policy->checkpointed(job->record.spec.id, TimePoint {}); })
+        m_policy->checkpointed(job->record.spec.id, m_clock.now());
 }
 
 template <typename Policy, typename TableType, typename Orders, typename Clock>
--- a/src/lycheespool/wire/messages.h
+++ b/src/lycheespool/wire/messages.h
@@ -61,7 +61,9 @@
     std::vector<std::string> entries;
     Epoch epoch;
     Freshness freshness;
-    MSGPACK_DEFINE(entry, entries, epoch, freshness)
+    /*! @brief As in HeartbeatReply. */
+    bool renewsLeases { true };
+    MSGPACK_DEFINE(entry, entries, epoch, freshness, renewsLeases)
 };
 
 /*! @brief Periodic report of an agent; renews the leases of all its tasks. */
@@ -85,7 +87,9 @@
     Epoch epoch;
     Freshness freshness;
     std::vector<std::string> entries;
-    MSGPACK_DEFINE(epoch, freshness, entries)
+    /*! @brief False when another entry leads: leases follow the heartbeats that the leader hears itself. */
+    bool renewsLeases { true };
+    MSGPACK_DEFINE(epoch, freshness, entries, renewsLeases)
 };
 
 /*! @brief A caller's request on its way to an executor. */
