--- a/bench/request_policy.cpp
+++ b/bench/request_policy.cpp
@@ -232,9 +232,8 @@
 /*! @brief Median and range of one figure over the seeds. */
 std::string spread(const std::vector<Figures>& runs, double Figures::*field, int digits)
 {
-    std::vector<double> values;
-    for (const auto& it : runs)
-        values.push_back(it.*field);
+    std::vector<double> values(runs.size());
+    std::ranges::transform(runs, values.begin(), field);
     std::ranges::sort(values);
     return fmt::format(
         "{:.{}f} ({:.{}f}-{:.{}f})", values[values.size() / 2], digits, values.front(), digits, values.back(), digits);
