Keep a context running while another thread may wake a waiting request

Cause: the address sanitizer run of test_request reports a timer that is destroyed after its context: a thread that grants a slot posts to the context of the waiting request, which may have ended meanwhile. Ruled out: a fault of the test alone; a stopping entry has the same window. Change: a waiting request holds tracked work on its executor. Conclusion: contexts outlive the requests that wait on them.

--- a/src/lycheespool/request/admission.h
+++ b/src/lycheespool/request/admission.h
@@ -140,13 +140,14 @@
 
     struct Waiter : std::enable_shared_from_this<Waiter> {
         Waiter(TimingType& timing, const asio::any_io_executor& callerExecutor)
-            : executor { callerExecutor }
+            : executor { asio::prefer(callerExecutor, asio::execution::outstanding_work.tracked) }
             , timer { timing, callerExecutor }
         {
         }
         WorkspaceId workspace;
         RequestPriority priority { RequestPriority::normal };
         TimePoint latestStart;
+        /*! @brief Keeps the context running until another thread has posted the result and let go of the timer. */
         asio::any_io_executor executor;
         typename TimingType::Timer timer;
         /*! @brief Written by the serving thread before the state becomes refused. */
