Close the request paths of a test before its context

Cause: the address sanitizer reports that a waiting request's timer is destroyed after its context in the property test. Conclusion: the order of destruction is part of the contract; the sanitizer run has to confirm it.

--- a/src/lycheespool/request/request_path.h
+++ b/src/lycheespool/request/request_path.h
@@ -61,7 +61,7 @@
 
     ~RequestPath() { close(); }
 
-    /*! @brief Refuses all waiting and coming requests; requests that run go on. */
+    /*! @brief Refuses all waiting and coming requests; required before the contexts of the requests are destroyed. */
     void close() { m_admission->close(); }
 
     /**
--- a/test/lycheespool/request/cluster.h
+++ b/test/lycheespool/request/cluster.h
@@ -48,6 +48,15 @@
     };
     using Answers = std::vector<Answered>;
 
+    ~Cluster()
+    {
+        // Waiting requests hold timers of the context, which is destroyed before the entries.
+        for (const auto& it : entries)
+            it->path.close();
+    }
+    Cluster(const Cluster&) = delete;
+    Cluster& operator=(const Cluster&) = delete;
+
     static AgentId agentName(std::size_t index) { return AgentId { fmt::format("agent-{}", index) }; }
 
     /*! @brief Starts an agent with an empty ledger and announces its new incarnation to every entry. */
