Close the admission queue when an entry drains

Cause: requests that wait for a slot outlived the server when an entry stopped. Change: drain closes the request path after the HTTP server has drained.

--- a/src/lycheespool/entry/entry_process.cpp
+++ b/src/lycheespool/entry/entry_process.cpp
@@ -90,6 +90,7 @@
     m_scheduler.stop();
     co_await m_registry.withdraw();
     const bool clean = co_await m_http.drain(m_settings.drainTimeout);
+    m_requests.close();
     m_rpc.stop();
     co_return clean;
 }
