--- a/test/lycheespool/agent/worker_tasks.cpp
+++ b/test/lycheespool/agent/worker_tasks.cpp
@@ -177,6 +177,24 @@
     CHECK(fixture.tasks->reports().empty());
 }
 
+// Guards against tasks whose leases another entry keeps alive while the leader, cut off from the agent, counts them as
+// lost and starts the gang elsewhere.
+TEST_CASE("replies of an entry that does not lead renew no leases")
+{
+    Fixture fixture;
+    fixture.startTwoTasks();
+    HeartbeatReply answer;
+    answer.epoch = Epoch { 5 };
+    answer.renewsLeases = false;
+    for (int i = 0; i < 30; ++i) {
+        fixture.clock.advance(1s);
+        fixture.tasks->received(answer, fixture.clock.now());
+        fixture.run(fixture.tasks->renewLeases());
+        fixture.run(fixture.tasks->tick());
+    }
+    CHECK(fixture.tasks->running() == 0);
+}
+
 // Guards against running tasks that a new incarnation of the agent neither reports nor keeps alive.
 TEST_CASE("a new incarnation adopts what the worker lists")
 {
--- a/test/lycheespool/cli/job_path.cpp
+++ b/test/lycheespool/cli/job_path.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <thread>
+
 using namespace lycheespool;
 using namespace lycheespool::test;
 
@@ -92,3 +94,52 @@
     body["surprise"] = true;
     refused(body.dump());
 }
+
+// Guards against a leader that was paused past its lease and acts on its old knowledge when it resumes.
+TEST_CASE("a leader that was paused past its lease starts nothing when it resumes")
+{
+    TestSystem system { 3, 1 };
+    system.startWorker(0);
+    TestSystem::waitFor("a leader", [&] { return system.leaderOf(3).has_value(); });
+    const auto old = system.leaderOf(3).value();
+    const auto other = (old + 1) % 3;
+    system.entry(old).signal(SIGSTOP);
+    const auto target = system.entryAddress(other);
+    CHECK(
+        system.send(target, "POST", jobsTarget, jobBody(1, 1).dump(), { { "Idempotency-Key", "job" } }).status == 202);
+    TestSystem::waitFor(
+        "the job is done under another leader", [&] { return stateOf(system, other, "job") == "done"; });
+    system.entry(old).signal(SIGCONT);
+    TestSystem::waitFor("the old leader answers", [&] { return !system.status(old)["leader"].get<bool>(); });
+    std::this_thread::sleep_for(std::chrono::seconds { 2 });
+    CHECK_FALSE(system.status(old)["leader"].get<bool>());
+    CHECK(system.startedTasks() == 1);
+    CHECK(stateOf(system, other, "job") == "done");
+}
+
+// Guards against a zone's work that is lost when operators take the zone out: it must move and finish elsewhere.
+TEST_CASE("a running gang is checkpointed and moved when its zone is taken out")
+{
+    TestSystem system { 2, 1 };
+    system.startWorker(0);
+    TestSystem::waitFor("a leader", [&] { return system.leaderOf(2).has_value(); });
+    const auto target = system.entryAddress(0);
+    CHECK(
+        system.send(target, "POST", jobsTarget, jobBody(1, 8).dump(), { { "Idempotency-Key", "move" } }).status == 202);
+    TestSystem::waitFor("the job runs", [&] { return system.runningTasks() == 1; });
+    system.startWorker(1, "zone-b");
+    const auto put = [&](const std::string& section, const std::string& text) {
+        const auto response = system.send(target, "PUT", "/v1/document/sections/" + section, text,
+            { { "If-Match", "0" }, { "From", "ada" }, { "Idempotency-Key", "edit-" + section } });
+        INFO(response.body);
+        CHECK(response.status == 200);
+    };
+    put("limits", "[limits]\nadministrators = [\"ada\"]\n");
+    put("zones",
+        "[zones]\noperators = [\"ada\"]\n[zones.zone-a]\nin_service = false\nreason = \"maintenance\"\n"
+        "[zones.zone-b]\nin_service = true\n");
+    TestSystem::waitFor("the job is done", [&] { return stateOf(system, 1, "move") == "done"; });
+    const auto job = nlohmann::json::parse(system.send(target, "GET", "/v1/jobs/move").body);
+    CHECK(job["attempt"] == 2);
+    CHECK(job["workers"] == nlohmann::json::array({ "worker-2" }));
+}
--- a/test/lycheespool/cli/request_path.cpp
+++ b/test/lycheespool/cli/request_path.cpp
@@ -5,6 +5,7 @@
 #include <doctest/doctest.h>
 
 #include <future>
+#include <thread>
 
 using namespace lycheespool;
 using namespace lycheespool::test;
@@ -106,3 +107,15 @@
     CHECK(ec);
     CHECK(system.send(system.entryAddress(0), "POST", idempotentTarget, "still here").status == 200);
 }
+
+// Guards against requests that wait for an agent which is frozen and neither answers nor closes its connection.
+TEST_CASE("an agent that is frozen gets no new request after its silence limit")
+{
+    TestSystem system { 1, 2 };
+    system.agent(0).signal(SIGSTOP);
+    std::this_thread::sleep_for(std::chrono::seconds { 2 });
+    for (int i = 0; i < 20; ++i)
+        CHECK(system.send(system.entryAddress(0), "POST", idempotentTarget, "x").status == 200);
+    CHECK(nlohmann::json::parse(system.send(system.executorAddress(0), "GET", "/v1/executions").body)["total"] == 0);
+    system.agent(0).signal(SIGCONT);
+}
--- a/test/lycheespool/cli/test_system.cpp
+++ b/test/lycheespool/cli/test_system.cpp
@@ -116,12 +116,12 @@
     return { total, duplicates };
 }
 
-void TestSystem::startWorker(std::size_t index)
+void TestSystem::startWorker(std::size_t index, const std::string& zone)
 {
     const auto address = workerAddress(index).toString();
     m_workers.push_back(std::make_unique<ChildProcess>(std::vector<std::string> { "worker", "--http", address }));
     m_workerAgents.push_back(std::make_unique<ChildProcess>(std::vector<std::string> { "agent", "--kind", "worker",
-        "--id", fmt::format("worker-{}", index + 1), "--zone", zones[0], "--rack", fmt::format("rack-{}", index / 3),
+        "--id", fmt::format("worker-{}", index + 1), "--zone", zone, "--rack", fmt::format("rack-{}", index / 3),
         "--http", host(60 + index) + ":8082", "--endpoint", address, "--entries", host(10) + ":8081" }));
 }
 
--- a/test/lycheespool/cli/test_system.h
+++ b/test/lycheespool/cli/test_system.h
@@ -33,8 +33,8 @@
     /*! @brief Executions that all emulated executors counted: total and keys that ran twice. */
     std::pair<std::uint64_t, std::uint64_t> executions();
 
-    /*! @brief Starts a worker and its agent, in the first zone. */
-    void startWorker(std::size_t index);
+    /*! @brief Starts a worker and its agent. */
+    void startWorker(std::size_t index, const std::string& zone = "zone-a");
 
     /*! @brief Entry that leads among the first ones. */
     std::optional<std::size_t> leaderOf(std::size_t entries);
