--- a/src/lycheespool/net/io_pool.h
+++ b/src/lycheespool/net/io_pool.h
@@ -48,7 +48,18 @@
     void stop();
 
 private:
-    std::vector<std::unique_ptr<asio::io_context>> m_contexts;
+    /*! @brief A context whose pending work can be destroyed while the context still exists. */
+    class Context : public asio::io_context {
+    public:
+        Context()
+            : asio::io_context { 1 }
+        {
+        }
+
+        using asio::execution_context::shutdown;
+    };
+
+    std::vector<std::unique_ptr<Context>> m_contexts;
     std::vector<Guard> m_guards;
     std::vector<std::thread> m_threads;
     std::atomic<std::size_t> m_next { 0 };
