Send the entry list only when it changed; bound connects; refresh an agent's proof for a newer revision

A start right after a document change was refused, because the order named a revision that the agent had not heard of (trace: 'job move attempt 2: the agent's document revision is lower than the order's'). Ruled out: a fault in the eviction, since each attempt ended by that refusal before any task started. Change: heartbeats carry the digest of the known list; connectTo() with a timeout; before a start the agent asks all entries for at most 500 ms when its proof is old or below the order's revision.

--- a/src/lycheespool/agent/agent_process.h
+++ b/src/lycheespool/agent/agent_process.h
@@ -78,20 +78,39 @@
     }
 
     /**
-     * @brief Sends a heartbeat to any connected entry, so that the endpoint gets a new freshness proof.
+     * @brief Sends a heartbeat to every connected entry, so that the endpoint gets the newest freshness proof.
      * @return True when an entry answered.
      */
     [[nodiscard]] Awaitable<bool> refresh()
     {
-        const auto links = m_links;
-        for (const auto& [address, link] : links) {
-            if (co_await link->exchangeHeartbeat())
-                co_return true;
+        const auto round = std::make_shared<RefreshRound>();
+        for (const auto& [address, link] : m_links) {
+            ++round->pending;
+            asio::co_spawn(m_pool.context(), refreshOne(link, round), asio::detached);
         }
-        co_return false;
+        const auto deadline = SteadyClock {}.now() + refreshTimeout;
+        while (round->pending > 0 && SteadyClock {}.now() < deadline)
+            co_await sleepFor(refreshPoll);
+        co_return round->answered;
     }
 
 private:
+    // Bounds the delay that one entry without an answer adds to a start.
+    static constexpr Duration refreshTimeout = std::chrono::milliseconds { 500 };
+    static constexpr Duration refreshPoll = std::chrono::milliseconds { 2 };
+
+    struct RefreshRound {
+        std::size_t pending { 0 };
+        bool answered { false };
+    };
+
+    [[nodiscard]] static Awaitable<> refreshOne(std::shared_ptr<Link> link, std::shared_ptr<RefreshRound> round)
+    {
+        const bool answered = co_await link->exchangeHeartbeat();
+        round->answered = round->answered || answered;
+        --round->pending;
+    }
+
     void connect(const Address& address, Duration giveUpAfter)
     {
         if (m_links.contains(address))
--- a/src/lycheespool/agent/entry_link.h
+++ b/src/lycheespool/agent/entry_link.h
@@ -5,6 +5,7 @@
 #include "lycheespool/core/log.h"
 #include "lycheespool/core/metrics.h"
 #include "lycheespool/net/address.h"
+#include "lycheespool/net/connect.h"
 #include "lycheespool/net/sleep.h"
 
 #include <chrono>
@@ -103,11 +104,15 @@
             co_return false;
         const auto sent = SteadyClock {}.now();
         auto heartbeat = m_endpoint.heartbeat();
+        heartbeat.entriesDigest = m_entriesDigest;
         try {
             const auto reply
                 = co_await connection->template call<HeartbeatReply>(std::move(heartbeat), heartbeatTimeout);
             m_endpoint.received(reply, sent);
-            m_entriesHandler(reply.entries);
+            if (!reply.entries.empty()) {
+                m_entriesHandler(reply.entries);
+                m_entriesDigest = reply.entriesDigest;
+            }
             co_return true;
         } catch (const Error&) {
             connection->close();
@@ -128,13 +133,10 @@
     [[nodiscard]] Awaitable<bool> connectAndServe()
     {
         const auto executor = co_await asio::this_coro::executor;
-        asio::ip::tcp::socket socket { executor };
-        boost::system::error_code ec;
-        const auto endpoint = m_address.endpoint();
-        co_await socket.async_connect(endpoint, asio::redirect_error(asio::use_awaitable, ec));
-        if (ec)
+        auto socket = co_await connectTo(m_address, heartbeatTimeout);
+        if (!socket)
             co_return false;
-        m_connection = std::make_shared<RpcConnection>(std::move(socket), m_metrics);
+        m_connection = std::make_shared<RpcConnection>(std::move(*socket), m_metrics);
         const auto pause = std::make_shared<asio::steady_timer>(executor);
         asio::co_spawn(executor, readLoop(m_connection, pause), asio::detached);
         const bool greeted = co_await greet();
@@ -192,6 +194,7 @@
     EntriesHandler m_entriesHandler;
     Duration m_interval;
     std::shared_ptr<RpcConnection> m_connection;
+    std::uint64_t m_entriesDigest { 0 };
     bool m_stopped { false };
 };
 
--- a/src/lycheespool/agent/freshness_proof.cpp
+++ b/src/lycheespool/agent/freshness_proof.cpp
@@ -26,6 +26,11 @@
 
 bool FreshnessProof::isRecent(TimePoint now) const { return m_provenAt && now - *m_provenAt <= maxAge; }
 
+bool FreshnessProof::covers(Revision revision, TimePoint now) const
+{
+    return isRecent(now) && m_freshness.revision >= revision;
+}
+
 void FreshnessProof::requireStart(const ZoneId& zone, Revision revision, TimePoint now) const
 {
     if (!isRecent(now))
--- a/src/lycheespool/agent/freshness_proof.h
+++ b/src/lycheespool/agent/freshness_proof.h
@@ -33,6 +33,14 @@
      */
     [[nodiscard]] bool isRecent(TimePoint now) const;
 
+    /**
+     * @brief Tells whether the proof is recent and knows a revision.
+     * @param revision Revision that an order names.
+     * @param now Present time.
+     * @return False when an extra heartbeat may help.
+     */
+    [[nodiscard]] bool covers(Revision revision, TimePoint now) const;
+
     /**
      * @brief Gives the highest revision seen.
      * @return The revision.
--- a/src/lycheespool/agent/worker_tasks.h
+++ b/src/lycheespool/agent/worker_tasks.h
@@ -257,7 +257,7 @@
     const bool repeated = std::ranges::any_of(known, [&](const auto& it) { return it.attempt == order.attempt; });
     if (repeated)
         co_return;
-    if (m_freshnessRequest && !m_proof.isRecent(m_clock.now()))
+    if (m_freshnessRequest && !m_proof.covers(order.revision, m_clock.now()))
         co_await m_freshnessRequest();
     m_proof.requireStart(m_settings.zone, order.revision, m_clock.now());
     m_reservations.use(order.job, order.attempt, m_clock.now());
--- a/src/lycheespool/entry/entry_process.cpp
+++ b/src/lycheespool/entry/entry_process.cpp
@@ -226,8 +226,8 @@
     }
     HttpResponse response;
     response.body = nlohmann::json {
-        { "entry", m_settings.id.value() }, { "entries", m_registry.entries() }, { "tableDown", m_table.isDown() },
-        { "leader", m_scheduler.isLeader() }, { "scheduler", scheduler },
+        { "entry", m_settings.id.value() }, { "entries", m_registry.entries()->addresses },
+        { "tableDown", m_table.isDown() }, { "leader", m_scheduler.isLeader() }, { "scheduler", scheduler },
         { "document", describeDocument(*m_document.state(), m_clock.now()) }, { "executors", executors }
     }.dump(2);
     response.body += '\n';
@@ -261,7 +261,7 @@
     HelloReply reply;
     reply.renewsLeases = mayRenewLeases();
     reply.entry = m_settings.id;
-    reply.entries = m_registry.entries();
+    reply.entries = m_registry.entries()->addresses;
     reply.epoch = m_scheduler.newestEpoch();
     reply.freshness = freshness();
     connection->send(reply, envelope.correlation);
@@ -283,7 +283,10 @@
     reply.renewsLeases = mayRenewLeases();
     reply.epoch = m_scheduler.newestEpoch();
     reply.freshness = freshness();
-    reply.entries = m_registry.entries();
+    const auto entries = m_registry.entries();
+    reply.entriesDigest = entries->digest;
+    if (heartbeat.entriesDigest != entries->digest)
+        reply.entries = entries->addresses;
     connection->send(reply, envelope.correlation);
 }
 
--- a/src/lycheespool/entry/entry_registry.h
+++ b/src/lycheespool/entry/entry_registry.h
@@ -4,6 +4,7 @@
 #include "lycheespool/core/ids.h"
 #include "lycheespool/core/log.h"
 #include "lycheespool/core/published.h"
+#include "lycheespool/entry/entry_list.h"
 #include "lycheespool/net/address.h"
 #include "lycheespool/net/sleep.h"
 #include "lycheespool/store/table.h"
@@ -41,7 +42,7 @@
         , m_entry { std::move(entry) }
         , m_address { address.toString() }
     {
-        m_entries.store({ m_address });
+        m_entries.store(EntryList::of({ m_address }));
     }
 
     /*! @brief Renews and lists until stop(). */
@@ -75,9 +76,9 @@
 
     /**
      * @brief Lists the RPC addresses of all entries.
-     * @return Addresses as text, this entry's included.
+     * @return The list, this entry included.
      */
-    [[nodiscard]] std::vector<std::string> entries() const { return *m_entries.load(); }
+    [[nodiscard]] Published<EntryList>::Snapshot entries() const { return m_entries.load(); }
 
 private:
     struct Seen {
@@ -111,7 +112,7 @@
             else
                 cleanup = { { { it.key, it.version } }, { { it.key, std::nullopt } } };
         }
-        m_entries.store(std::move(entries));
+        m_entries.store(EntryList::of(std::move(entries)));
         if (!cleanup.writes.empty())
             co_await m_table.commit(std::move(cleanup));
     }
@@ -119,7 +120,7 @@
     TableType& m_table;
     EntryId m_entry;
     std::string m_address;
-    Published<std::vector<std::string>> m_entries;
+    Published<EntryList> m_entries;
     std::map<std::string, Seen> m_seen;
     TimePoint m_nextRenewal;
     std::atomic<std::uint64_t> m_failures { 0 };
--- /dev/null
+++ b/src/lycheespool/net/connect.cpp
@@ -0,0 +1,21 @@
+#include "lycheespool/net/connect.h"
+
+#include <boost/beast/core/tcp_stream.hpp>
+
+namespace lycheespool {
+
+Awaitable<std::optional<asio::ip::tcp::socket>> connectTo(Address address, Duration timeout)
+{
+    const auto executor = co_await asio::this_coro::executor;
+    boost::beast::tcp_stream stream { executor };
+    stream.expires_after(timeout);
+    boost::system::error_code ec;
+    const auto endpoint = address.endpoint();
+    co_await stream.async_connect(endpoint, asio::redirect_error(asio::use_awaitable, ec));
+    if (ec)
+        co_return std::nullopt;
+    stream.expires_never();
+    co_return stream.release_socket();
+}
+
+}
--- /dev/null
+++ b/src/lycheespool/net/connect.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "lycheespool/core/clock.h"
+#include "lycheespool/net/address.h"
+#include "lycheespool/net/asio.h"
+
+#include <optional>
+
+namespace lycheespool {
+
+/**
+ * @brief Connects to an address within a time.
+ * @param address The address.
+ * @param timeout Longest time to wait; without a bound, a silent peer holds the caller for minutes.
+ * @return The connected socket, or nothing when there is no connection.
+ */
+[[nodiscard]] Awaitable<std::optional<asio::ip::tcp::socket>> connectTo(Address address, Duration timeout);
+
+}
--- a/src/lycheespool/wire/messages.h
+++ b/src/lycheespool/wire/messages.h
@@ -77,7 +77,9 @@
     std::vector<TaskReport> tasks;
     /*! @brief Whether tasks lists every task of the worker, so that a task that is absent does not run. */
     bool complete { false };
-    MSGPACK_DEFINE(incarnation, sequence, slotsFree, draining, tasks, complete)
+    /*! @brief Digest of the list of entries that the agent knows, 0 for none. */
+    std::uint64_t entriesDigest { 0 };
+    MSGPACK_DEFINE(incarnation, sequence, slotsFree, draining, tasks, complete, entriesDigest)
 };
 
 /*! @brief Answer to Heartbeat. */
@@ -89,7 +91,9 @@
     std::vector<std::string> entries;
     /*! @brief False when another entry leads: leases follow the heartbeats that the leader hears itself. */
     bool renewsLeases { true };
-    MSGPACK_DEFINE(epoch, freshness, entries, renewsLeases)
+    /*! @brief Digest of the present list; `entries` is empty when the agent knows it already. */
+    std::uint64_t entriesDigest { 0 };
+    MSGPACK_DEFINE(epoch, freshness, entries, renewsLeases, entriesDigest)
 };
 
 /*! @brief A caller's request on its way to an executor. */
--- a/test/lycheespool/agent/worker_tasks.cpp
+++ b/test/lycheespool/agent/worker_tasks.cpp
@@ -138,6 +138,21 @@
     CHECK(fixture.model.list(fixture.clock.now()).size() == 2);
 }
 
+// Guards against a start that is refused, and an attempt that is used up, because the order's document revision reached
+// the agent before its next heartbeat.
+TEST_CASE("the owner is asked for an extra heartbeat when the order names a newer revision")
+{
+    Fixture fixture;
+    REQUIRE(fixture.execute(fixture.order(OrderKind::reserve)).accepted);
+    fixture.tasks->setFreshnessRequest([&]() -> Awaitable<> {
+        fixture.tasks->received({ Epoch { 5 }, { Revision { 4 }, 0, {} }, {} }, fixture.clock.now());
+        co_return;
+    });
+    auto start = fixture.order(OrderKind::start);
+    start.revision = Revision { 4 };
+    CHECK(fixture.execute(start).accepted);
+}
+
 // Guards against a gang that starts late because a reservation was kept, or twice because of a repeated order.
 TEST_CASE("a reservation lapses after 5 s and a given-up attempt cannot be reserved again")
 {
