Run workers in the dev role

Cause: 'lycheespool dev' had no workers, so a newcomer could not run a job in it. Conclusion: dev shows requests and jobs.

--- a/src/lycheespool/cli/dev_system.h
+++ b/src/lycheespool/cli/dev_system.h
@@ -2,17 +2,20 @@
 
 #include "lycheespool/agent/agent_process.h"
 #include "lycheespool/agent/executor_endpoint.h"
+#include "lycheespool/agent/worker_endpoint.h"
 #include "lycheespool/core/metrics.h"
 #include "lycheespool/entry/entry_process.h"
 #include "lycheespool/platform/executor_service.h"
 #include "lycheespool/platform/table_service.h"
+#include "lycheespool/platform/worker_service.h"
 
 #include <memory>
 #include <vector>
 
 namespace lycheespool {
 
-/*! @brief A whole small system in one process: table, one entry, executors in three zones with their agents. */
+/*! @brief A whole small system in one process: table, one entry, executors in three zones and workers in one, with
+ * agents. */
 class DevSystem {
 public:
     /**
@@ -20,8 +23,9 @@
      * @param pool Threads to use.
      * @param http Address for clients and operators.
      * @param executors Number of executors.
+     * @param workers Number of workers.
      */
-    DevSystem(IoPool& pool, const Address& http, std::size_t executors);
+    DevSystem(IoPool& pool, const Address& http, std::size_t executors, std::size_t workers);
 
     ~DevSystem();
     DevSystem(const DevSystem&) = delete;
@@ -38,11 +42,13 @@
 
 private:
     struct ExecutorUnit;
+    struct WorkerUnit;
 
     Metrics m_metrics;
     TableService m_table;
     std::unique_ptr<EntryProcess> m_entry;
     std::vector<std::unique_ptr<ExecutorUnit>> m_executors;
+    std::vector<std::unique_ptr<WorkerUnit>> m_workers;
 };
 
 }
--- a/src/lycheespool/cli/role_dev.cpp
+++ b/src/lycheespool/cli/role_dev.cpp
@@ -10,9 +10,11 @@
     SettingsParser parser { "dev", "Runs one entry, agents and emulators in one process on loopback." };
     parser.addText("http", "address for clients and operators", "127.0.0.1:8080");
     parser.addNumber("executors", "number of executors", 3, 1, 16);
+    parser.addNumber("workers", "number of workers with 8 accelerators each", 4, 0, 16);
     parser.parse(args);
     IoPool pool { 4 };
-    DevSystem system { pool, parseAddress(parser.required("http")), parser.number("executors") };
+    DevSystem system { pool, parseAddress(parser.required("http")), parser.number("executors"),
+        parser.number("workers") };
     system.start();
     return runUntilSignal(pool, [&] { return system.drain(); });
 }
