Answer questions for history and audit trail from any entry and the command line

Cause: the document module could list revisions and the audit trail, but no process offered it. Change: GET /v1/document/history and /v1/document/audit, commands document history and document audit. Conclusion: operators can see who changed what from any entry.

--- a/src/lycheespool/cli/role_document.cpp
+++ b/src/lycheespool/cli/role_document.cpp
@@ -79,6 +79,31 @@
     return ExitCode::success;
 }
 
+ExitCode history(const Args& args)
+{
+    SettingsParser parser { "document history", "Lists the revisions of a section, the newest first." };
+    addEntries(parser);
+    parser.addText("section", "section, as in zones or workspace.tuning", "");
+    parser.addNumber("limit", "most records", 100, 1, 1000);
+    parser.parse(args);
+    OperatorClient client { parseEntries(parser.required("entries")) };
+    return print(client.send(get(
+        fmt::format("/v1/document/history?section={}&limit={}", parser.required("section"), parser.number("limit")))));
+}
+
+ExitCode audit(const Args& args)
+{
+    SettingsParser parser { "document audit", "Lists the audit trail, the newest first." };
+    addEntries(parser);
+    parser.addText("subject", "section, zone, worker or workspace; all when empty", "");
+    parser.addText("who", "operator or process; all when empty", "");
+    parser.addNumber("limit", "most records", 100, 1, 1000);
+    parser.parse(args);
+    OperatorClient client { parseEntries(parser.required("entries")) };
+    return print(client.send(get(fmt::format("/v1/document/audit?subject={}&who={}&limit={}", parser.text("subject"),
+        parser.text("who"), parser.number("limit")))));
+}
+
 ExitCode validate(const Args& args)
 {
     SettingsParser parser { "document validate", "Checks the text of a section without an entry." };
@@ -134,12 +159,16 @@
     const Args rest { args.empty() ? args.begin() : args.begin() + 1, args.end() };
     if (command == "show")
         return show(rest);
+    if (command == "history")
+        return history(rest);
+    if (command == "audit")
+        return audit(rest);
     if (command == "validate")
         return validate(rest);
     if (command == "edit")
         return edit(rest);
     throw Error { ErrorKind::invalidSetting, "unknown document command '" + command + "'",
-        "use show, validate or edit" };
+        "use show, validate, edit, history or audit" };
 }
 
 ExitCode runStatus(const Args& args)
--- a/src/lycheespool/entry/document_api.h
+++ b/src/lycheespool/entry/document_api.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "lycheespool/core/error.h"
+#include "lycheespool/document/document_history.h"
 #include "lycheespool/document/document_store.h"
 #include "lycheespool/document/section_parser.h"
 #include "lycheespool/entry/document_json.h"
@@ -16,7 +17,7 @@
 namespace lycheespool {
 
 /**
- * @brief Operators' calls for the document: show, edit, ask for the outcome of an edit.
+ * @brief Operators' calls for the document: show, edit, ask for the outcome of an edit, history, audit trail.
  * @tparam TableType Model of Table.
  */
 template <Table TableType>
@@ -34,6 +35,7 @@
      */
     DocumentApi(TableType& table, EntryId entry, EditPolicy policy, AcceptedHandler accepted)
         : m_store { table, std::move(entry), std::move(policy) }
+        , m_history { table }
         , m_accepted { std::move(accepted) }
     {
     }
@@ -49,6 +51,10 @@
     {
         if (rest.empty() && request.method == "GET")
             co_return co_await showAll();
+        if (rest == "/history" && request.method == "GET")
+            co_return co_await showHistory(std::move(request));
+        if (rest == "/audit" && request.method == "GET")
+            co_return co_await showAudit(std::move(request));
         if (rest == "/outcome" && request.method == "GET")
             co_return co_await showOutcome(std::move(request));
         constexpr std::string_view prefix = "/sections/";
@@ -77,6 +83,22 @@
         co_return DocumentJson::write(stored.find(section));
     }
 
+    [[nodiscard]] Awaitable<HttpResponse> showHistory(HttpRequest request)
+    {
+        SectionId section { std::string { request.parameter("section") } };
+        (void)kindOf(section);
+        const auto limit = DocumentJson::readLimit(request);
+        const auto records = co_await m_history.ofSection(std::move(section), limit);
+        co_return DocumentJson::write(records);
+    }
+
+    [[nodiscard]] Awaitable<HttpResponse> showAudit(HttpRequest request)
+    {
+        auto query = DocumentJson::readAuditQuery(request);
+        const auto records = co_await m_history.audit(std::move(query));
+        co_return DocumentJson::write(records);
+    }
+
     [[nodiscard]] Awaitable<HttpResponse> edit(SectionId section, HttpRequest request)
     {
         auto wanted = DocumentJson::readEdit(std::move(section), std::move(request));
@@ -117,6 +139,7 @@
     }
 
     DocumentStore<TableType> m_store;
+    DocumentHistory<TableType> m_history;
     AcceptedHandler m_accepted;
 };
 
--- a/src/lycheespool/entry/document_json.cpp
+++ b/src/lycheespool/entry/document_json.cpp
@@ -15,6 +15,8 @@
 
 namespace {
 
+constexpr std::size_t maxRecords = 1000;
+
 Error missing(const std::string& what, std::string remedy)
 {
     return { ErrorKind::invalidArgument, what, std::move(remedy) };
@@ -134,6 +136,44 @@
     return ticket;
 }
 
+std::size_t DocumentJson::readLimit(const HttpRequest& request)
+{
+    const auto limit = readNumber(request.parameter("limit", "100"), "parameter limit");
+    if (limit == 0 || limit > maxRecords)
+        throw missing("parameter limit is out of range", "write a number from 1 to 1000");
+    return limit;
+}
+
+AuditQuery DocumentJson::readAuditQuery(const HttpRequest& request)
+{
+    AuditQuery query;
+    if (const auto subject = request.parameter("subject"); !subject.empty())
+        query.subject = std::string { subject };
+    if (const auto who = request.parameter("who"); !who.empty())
+        query.who = std::string { who };
+    query.limit = readLimit(request);
+    return query;
+}
+
+HttpResponse DocumentJson::write(const std::vector<HistoryRecord>& records)
+{
+    auto list = json::array();
+    for (const auto& it : records)
+        list.push_back(describe(it.section));
+    return jsonResponse(200, list);
+}
+
+HttpResponse DocumentJson::write(const std::vector<AuditRecord>& records)
+{
+    auto list = json::array();
+    for (const auto& it : records) {
+        list.push_back({ { "who", it.who }, { "timeMs", it.time.time_since_epoch().count() }, { "act", it.act },
+            { "subject", it.subject }, { "before", it.before }, { "after", it.after },
+            { "process", it.process.value() }, { "revision", it.revision.value() } });
+    }
+    return jsonResponse(200, list);
+}
+
 HttpResponse DocumentJson::write(const StoredDocument& document)
 {
     auto sections = json::array();
--- a/src/lycheespool/entry/document_json.h
+++ b/src/lycheespool/entry/document_json.h
@@ -1,10 +1,16 @@
 #pragma once
 
+#include "lycheespool/document/audit_query.h"
+#include "lycheespool/document/audit_record.h"
 #include "lycheespool/document/edit.h"
 #include "lycheespool/document/edit_result.h"
+#include "lycheespool/document/history_record.h"
 #include "lycheespool/document/stored_document.h"
 #include "lycheespool/net/http_message.h"
 
+#include <cstddef>
+#include <vector>
+
 namespace lycheespool {
 
 /*! @brief HTTP form of the document and of its edits. */
@@ -27,6 +33,24 @@
      */
     [[nodiscard]] static EditTicket readTicket(const HttpRequest& request);
 
+    /**
+     * @brief Reads how many records an answer may have.
+     * @param request Parameter `limit`, 1 to 1000, default 100.
+     * @return Number of records.
+     * @throws Error of kind invalidArgument.
+     */
+    [[nodiscard]] static std::size_t readLimit(const HttpRequest& request);
+
+    /**
+     * @brief Reads a query of the audit trail.
+     * @param request Parameters `subject`, `who` and `limit`; absent ones select everything.
+     * @return The query.
+     * @throws Error of kind invalidArgument.
+     */
+    [[nodiscard]] static AuditQuery readAuditQuery(const HttpRequest& request);
+
+    [[nodiscard]] static HttpResponse write(const std::vector<HistoryRecord>& records);
+    [[nodiscard]] static HttpResponse write(const std::vector<AuditRecord>& records);
     [[nodiscard]] static HttpResponse write(const StoredDocument& document);
     [[nodiscard]] static HttpResponse write(const StoredSection& section);
     /**
--- a/test/lycheespool/cli/document_path.cpp
+++ b/test/lycheespool/cli/document_path.cpp
@@ -99,6 +99,16 @@
         "in effect again", [&] { return revisionAt(system, 0) == out && revisionAt(system, 1) == out; });
     CHECK(system.status(0)["document"]["zones"] == before);
     CHECK(system.status(1)["document"]["zones"] == before);
+    const auto trail
+        = nlohmann::json::parse(system.send(system.entryAddress(1), "GET", "/v1/document/audit?subject=zones").body);
+    REQUIRE(trail.size() == 1);
+    CHECK(trail[0]["who"] == "ada");
+    CHECK(trail[0]["process"] == "entry-1");
+    CHECK(trail[0]["revision"] == out);
+    const auto history
+        = nlohmann::json::parse(system.send(system.entryAddress(0), "GET", "/v1/document/history?section=zones").body);
+    REQUIRE(history.size() == 1);
+    CHECK(history[0]["text"] == zonesText(false));
 }
 
 // Guards against an edit that is reported as failed although it took effect, or the other way round.
