--- a/test/lycheespool/cli/request_path.cpp
+++ b/test/lycheespool/cli/request_path.cpp
@@ -119,3 +119,15 @@
     CHECK(nlohmann::json::parse(system.send(system.executorAddress(0), "GET", "/v1/executions").body)["total"] == 0);
     system.agent(0).signal(SIGCONT);
 }
+
+// Guards against a role that does not end, or ends with an error, when it is told to stop while idle.
+TEST_CASE("every role exits with 0 on SIGTERM")
+{
+    TestSystem system { 1, 1 };
+    system.startWorker(0);
+    for (auto* process : { &system.workerAgent(0), &system.worker(0), &system.agent(0), &system.executor(0),
+             &system.entry(0), &system.table() }) {
+        process->signal(SIGTERM);
+        CHECK(process->wait() == 0);
+    }
+}
--- a/test/lycheespool/cli/test_system.h
+++ b/test/lycheespool/cli/test_system.h
@@ -51,6 +51,9 @@
     [[nodiscard]] Address entryAddress(std::size_t index) const { return { host(10 + index), 8080 }; }
     [[nodiscard]] Address workerAddress(std::size_t index) const { return { host(60 + index), 8100 }; }
     [[nodiscard]] Address executorAddress(std::size_t index) const { return { host(30 + index), 8100 }; }
+    [[nodiscard]] ChildProcess& table() { return *m_table; }
+    [[nodiscard]] ChildProcess& worker(std::size_t index) { return *m_workers[index]; }
+    [[nodiscard]] ChildProcess& workerAgent(std::size_t index) { return *m_workerAgents[index]; }
     [[nodiscard]] ChildProcess& entry(std::size_t index) { return *m_entries[index]; }
     [[nodiscard]] ChildProcess& agent(std::size_t index) { return *m_agents[index]; }
     [[nodiscard]] ChildProcess& executor(std::size_t index) { return *m_executors[index]; }
