Give the agents of process tests all entries as seeds

Cause: one run of test_cli under load failed: 'a leader that was paused past its lease starts nothing when it resumes' never saw the job done. The trace shows that the worker's agent knew only the entry that was paused before the agent had greeted it, so it never learned of the others. docs/operators.md asks for one seed that answers. Ruled out: a fault of the takeover, since the new leader had no worker at all. Change: the test system names all entries as seeds, as an installation does. Conclusion: no fault of the sources.

--- a/test/lycheespool/cli/test_system.cpp
+++ b/test/lycheespool/cli/test_system.cpp
@@ -52,6 +52,14 @@
     return fmt::format("127.{}.{}.{}", 1 + m_net / 256 % 250, m_net % 256, last);
 }
 
+std::string TestSystem::seeds() const
+{
+    std::string list;
+    for (std::size_t i = 0; i < m_entries.size(); ++i)
+        list += (i > 0 ? "," : "") + host(10 + i) + ":8081";
+    return list;
+}
+
 void TestSystem::startEntry(std::size_t index)
 {
     m_entries[index]
@@ -70,7 +78,7 @@
 {
     m_agents[index] = std::make_unique<ChildProcess>(std::vector<std::string> { "agent", "--id",
         fmt::format("executor-{}", index + 1), "--zone", zones[index % zones.size()], "--http",
-        host(30 + index) + ":8082", "--endpoint", executorAddress(index).toString(), "--entries", host(10) + ":8081" });
+        host(30 + index) + ":8082", "--endpoint", executorAddress(index).toString(), "--entries", seeds() });
 }
 
 HttpResponse TestSystem::send(const Address& address, const std::string& method, const std::string& target,
@@ -125,7 +133,7 @@
     m_workers.push_back(std::make_unique<ChildProcess>(std::vector<std::string> { "worker", "--http", address }));
     m_workerAgents.push_back(std::make_unique<ChildProcess>(std::vector<std::string> { "agent", "--kind", "worker",
         "--id", fmt::format("worker-{}", index + 1), "--zone", zone, "--rack", fmt::format("rack-{}", index / 3),
-        "--http", host(60 + index) + ":8082", "--endpoint", address, "--entries", host(10) + ":8081" }));
+        "--http", host(60 + index) + ":8082", "--endpoint", address, "--entries", seeds() }));
     waitFor("the worker serves", [&] { return send(workerAddress(index), "GET", "/v1/tasks").status == 200; });
 }
 
--- a/test/lycheespool/cli/test_system.h
+++ b/test/lycheespool/cli/test_system.h
@@ -66,6 +66,8 @@
 
 private:
     [[nodiscard]] std::string host(std::size_t last) const;
+    /*! @brief RPC addresses of all entries, so that an agent starts also while one of them is paused. */
+    [[nodiscard]] std::string seeds() const;
     void startExecutor(std::size_t index, const std::string& serviceTimeUs);
 
     unsigned m_net;
