--- a/bench/agent_fan_in.cpp
+++ b/bench/agent_fan_in.cpp
@@ -5,9 +5,9 @@
 #include "lycheespool/agent/entry_link.h"
 #include "lycheespool/cli/settings_parser.h"
 #include "lycheespool/core/error.h"
+#include "lycheespool/emulator/table_service.h"
 #include "lycheespool/entry/entry_process.h"
 #include "lycheespool/net/http_client.h"
-#include "lycheespool/platform/table_service.h"
 
 #include <charconv>
 #include <csignal>
--- a/examples/embed_leader_lease.cpp
+++ b/examples/embed_leader_lease.cpp
@@ -49,6 +49,6 @@
             if (it->lease.isHeld(clock.now()))
                 fmt::print("t={:2} s: {} leads with epoch {}\n", elapsed, it->name, it->lease.epoch().value());
         }
-        clock.advance(LeaderLease::renewInterval);
+        clock.advance(LeaderLeaseTimes {}.renewInterval);
     }
 }
--- a/scripts/format.sh
+++ b/scripts/format.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/.."
 mode=(--dry-run --Werror)
 [ "${1:-}" = --fix ] && mode=(-i)
-find src test bench examples \( -name "*.h" -o -name "*.cpp" \) | xargs clang-format "${mode[@]}"
+find src test bench examples platform \( -name "*.h" -o -name "*.cpp" \) | xargs clang-format "${mode[@]}"
--- a/scripts/tidy.sh
+++ b/scripts/tidy.sh
@@ -8,7 +8,7 @@
     local source=$1
     # The preprocessed text covers every header, so it is a complete key for the result.
     local key
-    key=$( (cat .clang-tidy; g++ -std=c++20 -Isrc -Itest -E -P -DBOOST_ASIO_SEPARATE_COMPILATION \
+    key=$( (cat .clang-tidy; g++ -std=c++20 -I. -Isrc -Itest -E -P -DBOOST_ASIO_SEPARATE_COMPILATION \
         -DBOOST_BEAST_SEPARATE_COMPILATION -DLYCHEESPOOL_BINARY='""' "$source") | sha256sum | cut -c1-32)
     [ -e "build/tidy/$key" ] && return 0
     if clang-tidy-19 --quiet -p build/release --extra-arg=-DBOOST_ASIO_HAS_CO_AWAIT=1 \
--- a/src/lycheespool/agent/worker_endpoint.cpp
+++ b/src/lycheespool/agent/worker_endpoint.cpp
@@ -1,8 +1,8 @@
 #include "lycheespool/agent/worker_endpoint.h"
 
 #include "lycheespool/agent/worker_tasks.h"
+#include "lycheespool/emulator/worker_client.h"
 #include "lycheespool/net/sleep.h"
-#include "lycheespool/platform/worker_client.h"
 
 #include <utility>
 
--- a/src/lycheespool/agent/worker_tasks.h
+++ b/src/lycheespool/agent/worker_tasks.h
@@ -7,8 +7,8 @@
 #include "lycheespool/core/error.h"
 #include "lycheespool/core/log.h"
 #include "lycheespool/core/metrics.h"
+#include "lycheespool/emulator/worker_api.h"
 #include "lycheespool/net/asio.h"
-#include "lycheespool/platform/worker_api.h"
 #include "lycheespool/wire/messages.h"
 
 #include <algorithm>
--- a/src/lycheespool/cli/command.cpp
+++ b/src/lycheespool/cli/command.cpp
@@ -22,6 +22,8 @@
 constexpr std::array roles {
     Role { "entry", "serves clients, operators and agents", runEntry },
     Role { "agent", "runs beside an executor or a worker", runAgent },
+    Role { "gateway", "serves clients on the users' platform; one gateway leads", runGateway },
+    Role { "node-agent", "runs beside an executor on the users' platform", runNodeAgent },
     Role { "document", "shows, validates and edits the configuration document", runDocument },
     Role { "status", "shows the state of the system", runStatus },
     Role { "dev", "runs a whole small system in one process on loopback", runDev },
--- a/src/lycheespool/cli/dev_system.h
+++ b/src/lycheespool/cli/dev_system.h
@@ -4,10 +4,10 @@
 #include "lycheespool/agent/executor_endpoint.h"
 #include "lycheespool/agent/worker_endpoint.h"
 #include "lycheespool/core/metrics.h"
+#include "lycheespool/emulator/executor_service.h"
+#include "lycheespool/emulator/table_service.h"
+#include "lycheespool/emulator/worker_service.h"
 #include "lycheespool/entry/entry_process.h"
-#include "lycheespool/platform/executor_service.h"
-#include "lycheespool/platform/table_service.h"
-#include "lycheespool/platform/worker_service.h"
 
 #include <memory>
 #include <vector>
--- /dev/null
+++ b/src/lycheespool/cli/role_gateway.cpp
@@ -0,0 +1,152 @@
+#include "platform/client_api.h"
+#include "platform/operator_codec.h"
+#include "platform/settings.h"
+#include "platform/store_client.h"
+
+#include "lycheespool/cli/incarnation.h"
+#include "lycheespool/cli/process_runner.h"
+#include "lycheespool/cli/roles.h"
+#include "lycheespool/cluster/operator_watcher.h"
+#include "lycheespool/controller/leader_host.h"
+#include "lycheespool/core/event_log.h"
+#include "lycheespool/gateway/job_gateway.h"
+#include "lycheespool/net/http_server.h"
+#include "lycheespool/net/rpc_server.h"
+
+#include <optional>
+
+namespace lycheespool {
+
+namespace {
+
+using Store = platform::StoreClient;
+
+// The balancer looks every second and stops sending new connections after two misses.
+constexpr Duration balancerNotice = std::chrono::milliseconds { 2200 };
+// Time for requests in flight after that; clients wait at most about this long.
+constexpr Duration drainTime = std::chrono::milliseconds { 2500 };
+
+/*! @brief All parts of a gateway process. */
+class GatewayProcess {
+public:
+    GatewayProcess(IoPool& pool, const NodeSettings& settings, Metrics& metrics)
+        : m_settings { settings }
+        , m_store { settings.store, metrics }
+        , m_watcher { m_store, platform::operatorSource(), [this] { m_leader->onOperatorChange(); } }
+        , m_gateway { m_store, RowNames {}, metrics }
+        , m_api { m_gateway, m_watcher }
+        , m_leader { std::make_shared<LeaderHost<Store>>(pool.context().get_executor(), m_store, m_watcher, RowNames {},
+              LeaseRow { settings.node, drawIncarnation().value(), settings.internal.toString(), 0 },
+              ControllerSettings::from(settings.bounds), metrics) }
+        , m_messages { pool, settings.internal, metrics,
+            [this](const auto& source, Envelope envelope) { onMessage(source, std::move(envelope)); },
+            [](const auto&) {} }
+        , m_metrics { pool, settings.metrics, metrics,
+            [&metrics](HttpRequest) -> Awaitable<HttpResponse> { co_return renderMetrics(metrics); } }
+    {
+        if (settings.front)
+            m_front.emplace(pool, *settings.front, metrics,
+                [this](HttpRequest request) { return m_api.answer(std::move(request)); });
+        if (settings.ready)
+            m_ready.emplace(pool, *settings.ready, metrics,
+                [this](HttpRequest) -> Awaitable<HttpResponse> { co_return answerReady(); });
+        if (settings.control)
+            m_control.emplace(pool, *settings.control, metrics, [](HttpRequest) -> Awaitable<HttpResponse> {
+                HttpResponse response;
+                response.status = 404;
+                co_return response;
+            });
+        const auto executor = pool.context().get_executor();
+        asio::co_spawn(
+            executor, [this]() -> Awaitable<> { co_await m_watcher.run(); }, asio::detached);
+        asio::co_spawn(
+            executor, [this]() -> Awaitable<> { co_await m_gateway.run(); }, asio::detached);
+        m_leader->start();
+        m_messages.start();
+        m_metrics.start();
+        for (auto* const it : { &m_front, &m_ready, &m_control }) {
+            if (*it)
+                (*it)->start();
+        }
+    }
+
+    [[nodiscard]] Awaitable<bool> drain()
+    {
+        m_isDraining = true;
+        co_await m_leader->retire();
+        const auto notice = std::min<Duration>(balancerNotice, m_settings.bounds.stopGrace / 2);
+        co_await sleepFor(notice);
+        const auto rest = std::min<Duration>(drainTime, m_settings.bounds.stopGrace / 3);
+        const bool isClean = !m_front || co_await m_front->drain(rest);
+        co_return isClean;
+    }
+
+private:
+    [[nodiscard]] static HttpResponse renderMetrics(const Metrics& metrics)
+    {
+        HttpResponse response;
+        response.contentType = "text/plain; version=0.0.4";
+        response.body = metrics.render();
+        return response;
+    }
+
+    [[nodiscard]] HttpResponse answerReady() const
+    {
+        HttpResponse response;
+        const bool isReady = !m_isDraining && m_watcher.state().config && m_gateway.isStoreReachable();
+        response.status = isReady ? 200 : 503;
+        return response;
+    }
+
+    void onMessage(const std::shared_ptr<RpcConnection>& source, Envelope envelope)
+    {
+        if (envelope.type != MessageType::nodeReport)
+            return;
+        try {
+            source->send(m_leader->onReport(source, envelope.as<NodeReport>()), envelope.correlation);
+        } catch (const Error& error) {
+            logEvent("report_unreadable", { { "reason", error.what() } });
+            source->close();
+        }
+    }
+
+    NodeSettings m_settings;
+    Store m_store;
+    OperatorWatcher<Store> m_watcher;
+    JobGateway<Store> m_gateway;
+    platform::ClientApi<Store> m_api;
+    std::shared_ptr<LeaderHost<Store>> m_leader;
+    RpcServer m_messages;
+    HttpServer m_metrics;
+    std::optional<HttpServer> m_front;
+    std::optional<HttpServer> m_ready;
+    std::optional<HttpServer> m_control;
+    bool m_isDraining { false };
+};
+
+}
+
+ExitCode runGateway(const Args&)
+{
+    const auto settings = platform::readSettings();
+    startEventLog(settings.node);
+    logEvent("started", { { "role", "gateway" }, { "zone", settings.zone }, { "store", settings.store.toString() } });
+    Metrics metrics;
+    addProcessGauges(metrics);
+    ExitCode code = ExitCode::success;
+    {
+        // One thread: the VM has a fraction of a core, and the state needs no locks.
+        IoPool pool { 1 };
+        GatewayProcess process { pool, settings, metrics };
+        code = runUntilSignal(
+            pool, [&] { return process.drain(); },
+            [] {
+                logEvent("reloaded", { { "changed", false } });
+            });
+    }
+    logEvent("stopped", { { "role", "gateway" }, { "code", static_cast<int>(code) } });
+    stopEventLog();
+    return code;
+}
+
+}
--- /dev/null
+++ b/src/lycheespool/cli/role_node_agent.cpp
@@ -0,0 +1,76 @@
+#include "platform/executor_api.h"
+#include "platform/executor_client.h"
+#include "platform/settings.h"
+#include "platform/store_client.h"
+
+#include "lycheespool/cli/process_runner.h"
+#include "lycheespool/cli/roles.h"
+#include "lycheespool/core/error.h"
+#include "lycheespool/core/event_log.h"
+#include "lycheespool/net/http_server.h"
+#include "lycheespool/nodeagent/node_agent.h"
+
+namespace lycheespool {
+
+namespace {
+
+// Time for calls of the executor that are being answered at a planned stop.
+constexpr Duration drainTime = std::chrono::milliseconds { 500 };
+
+using Agent = NodeAgent<platform::StoreClient, platform::ExecutorClient>;
+
+HttpResponse renderMetrics(const Metrics& metrics)
+{
+    HttpResponse response;
+    response.contentType = "text/plain; version=0.0.4";
+    response.body = metrics.render();
+    return response;
+}
+
+}
+
+ExitCode runNodeAgent(const Args&)
+{
+    const auto settings = platform::readSettings();
+    if (!settings.executor || !settings.control)
+        throw Error { ErrorKind::invalidSetting, "there is no executor on this VM",
+            "run node-agent on the VMs of executors only" };
+    startEventLog(settings.node);
+    logEvent("started",
+        { { "role", "node-agent" }, { "zone", settings.zone }, { "executor_address", settings.executor->toString() },
+            { "store", settings.store.toString() } });
+    Metrics metrics;
+    addProcessGauges(metrics);
+    ExitCode code = ExitCode::success;
+    {
+        // One thread: the VM has a fraction of a core, and the state needs no locks.
+        IoPool pool { 1 };
+        platform::StoreClient store { settings.store, metrics };
+        platform::ExecutorClient executor { *settings.executor };
+        const auto agent
+            = std::make_shared<Agent>(pool.context().get_executor(), settings, store, executor, RowNames {}, metrics);
+        const platform::ExecutorEvents events {
+            [agent](const ExecutorAnnouncement& it) { agent->onAnnouncement(it); },
+            [agent](const std::string& it) { agent->onDeparture(it); },
+        };
+        HttpServer control { pool, *settings.control, metrics,
+            [&events](HttpRequest request) -> Awaitable<HttpResponse> {
+                co_return platform::answerExecutor(request, events);
+            } };
+        HttpServer status { pool, settings.metrics, metrics,
+            [&metrics](HttpRequest) -> Awaitable<HttpResponse> { co_return renderMetrics(metrics); } };
+        agent->start();
+        control.start();
+        status.start();
+        code = runUntilSignal(
+            pool, [&] { return control.drain(drainTime); },
+            [] {
+                logEvent("reloaded", { { "changed", false } });
+            });
+    }
+    logEvent("stopped", { { "role", "node-agent" }, { "code", static_cast<int>(code) } });
+    stopEventLog();
+    return code;
+}
+
+}
--- a/src/lycheespool/cli/role_platform.cpp
+++ b/src/lycheespool/cli/role_platform.cpp
@@ -1,8 +1,8 @@
 #include "lycheespool/cli/process_runner.h"
 #include "lycheespool/cli/roles.h"
 #include "lycheespool/cli/settings_parser.h"
-#include "lycheespool/platform/executor_service.h"
-#include "lycheespool/platform/table_service.h"
+#include "lycheespool/emulator/executor_service.h"
+#include "lycheespool/emulator/table_service.h"
 
 namespace lycheespool {
 
--- a/src/lycheespool/cli/role_worker.cpp
+++ b/src/lycheespool/cli/role_worker.cpp
@@ -2,7 +2,7 @@
 #include "lycheespool/cli/roles.h"
 #include "lycheespool/cli/settings_parser.h"
 #include "lycheespool/cli/worker_capacity.h"
-#include "lycheespool/platform/worker_service.h"
+#include "lycheespool/emulator/worker_service.h"
 
 namespace lycheespool {
 
--- a/src/lycheespool/cli/roles.h
+++ b/src/lycheespool/cli/roles.h
@@ -25,6 +25,10 @@
 /*! @copydoc runEntry */
 [[nodiscard]] ExitCode runWorker(const Args& args);
 /*! @copydoc runEntry */
+[[nodiscard]] ExitCode runGateway(const Args& args);
+/*! @copydoc runEntry */
+[[nodiscard]] ExitCode runNodeAgent(const Args& args);
+/*! @copydoc runEntry */
 [[nodiscard]] ExitCode runDocument(const Args& args);
 /*! @copydoc runEntry */
 [[nodiscard]] ExitCode runStatus(const Args& args);
--- /dev/null
+++ b/src/lycheespool/cluster/fwd.h
@@ -0,0 +1,11 @@
+#pragma once
+
+namespace lycheespool {
+
+struct NodeSettings;
+struct OperatorConfig;
+struct QueueConfig;
+struct ServiceConfig;
+struct WorkspaceConfig;
+
+}
--- /dev/null
+++ b/src/lycheespool/cluster/operator_config.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "lycheespool/workload/job_request.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace lycheespool {
+
+/*! @brief A queue that clients submit jobs to, and the policy of its jobs. */
+struct QueueConfig {
+    std::string name;
+    std::string host;
+    std::string pathPrefix;
+    QueuePolicy policy;
+    bool allowsAnonymous { false };
+};
+
+/*! @brief A pool of executors. */
+struct ServiceConfig {
+    std::string name;
+    /*! @brief The executors refuse what exceeds their capacity. */
+    bool enforcesCapacity { false };
+};
+
+/*! @brief A workspace, its keys and its guarantee. */
+struct WorkspaceConfig {
+    std::string name;
+    std::vector<std::string> keys;
+    /*! @brief Accelerators that its jobs of priority 0 can claim at any time. */
+    std::int64_t guaranteedAccelerators { 0 };
+};
+
+/*! @brief The operators' config, in full. */
+struct OperatorConfig {
+    std::uint64_t version { 0 };
+    std::vector<QueueConfig> queues;
+    std::vector<ServiceConfig> services;
+    std::vector<WorkspaceConfig> workspaces;
+
+    /**
+     * @brief Finds the queue of a request by host and longest matching path prefix.
+     * @param host Host without port.
+     * @param path Path of the request.
+     * @return The queue, or null.
+     */
+    [[nodiscard]] const QueueConfig* route(std::string_view host, std::string_view path) const;
+
+    /**
+     * @brief Finds a queue by its name.
+     * @param name The name.
+     * @return The queue, or null.
+     */
+    [[nodiscard]] const QueueConfig* queue(std::string_view name) const;
+
+    /**
+     * @brief Finds the workspace that holds a key.
+     * @param key The key.
+     * @return The workspace, or null.
+     */
+    [[nodiscard]] const WorkspaceConfig* workspaceOfKey(std::string_view key) const;
+
+    /**
+     * @brief Finds a workspace by its name.
+     * @param name The name.
+     * @return The workspace, or null.
+     */
+    [[nodiscard]] const WorkspaceConfig* workspace(std::string_view name) const;
+};
+
+}
--- /dev/null
+++ b/src/lycheespool/controller/controller_jobs.cpp
@@ -0,0 +1,171 @@
+// Jobs and their states in Controller.
+#include "lycheespool/controller/controller.h"
+
+#include "lycheespool/core/event_log.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace lycheespool {
+
+namespace {
+
+constexpr std::string_view stateName(WorkloadState state)
+{
+    constexpr std::array<std::string_view, 5> names { "pending", "running", "completed", "failed", "cancelled" };
+    return names[static_cast<std::size_t>(state)];
+}
+
+/*! @brief Estimates the run time from the start of each step to the end of the job. */
+std::vector<std::int64_t> chainTimes(const JobRequest& request)
+{
+    std::vector<std::int64_t> times(request.steps.size(), 0);
+    for (std::size_t i = times.size(); i-- > 0;) {
+        times[i] += request.steps[i].estimatedMs;
+        for (const auto before : request.steps[i].after)
+            times[before] = std::max(times[before], times[i]);
+    }
+    return times;
+}
+
+}
+
+Controller::Controller(const ControllerSettings& settings, Epoch epoch, TimePoint now, Metrics& metrics)
+    : m_settings { settings }
+    , m_epoch { epoch }
+    , m_startedAt { now }
+    , m_config { std::make_shared<const OperatorConfig>() }
+    , m_runsPlanned { metrics.counter("runs_planned_total") }
+    , m_runsDone { metrics.counter("runs_done_total") }
+    , m_runsFailed { metrics.counter("runs_failed_total") }
+    , m_runsLost { metrics.counter("runs_lost_total") }
+    , m_runsEvicted { metrics.counter("runs_evicted_total") }
+    , m_runsStalled { metrics.counter("runs_stalled_total") }
+    , m_straysStopped { metrics.counter("runs_unknown_stopped_total") }
+    , m_waitMs { metrics.distribution("first_start_wait_ms") }
+    , m_completionMs { metrics.distribution("completion_ms") }
+{
+}
+
+ManagedWorkload* Controller::findJob(const std::string& id)
+{
+    const auto it = m_jobs.find(id);
+    return it == m_jobs.end() ? nullptr : &it->second;
+}
+
+const QueuePolicy& Controller::policyOf(const ManagedWorkload& job) const
+{
+    const auto* const queue = m_config->queue(job.row.queue);
+    return queue ? queue->policy : job.row.policy;
+}
+
+void Controller::addJob(
+    const std::string& id, JobRow row, std::string_view progress, std::uint64_t rowVersion, TimePoint now)
+{
+    if (m_jobs.contains(id))
+        return;
+    ManagedWorkload job;
+    job.id = id;
+    job.progress = JobProgress::decode(row.request, progress);
+    job.row = std::move(row);
+    job.rowVersion = rowVersion;
+    job.storedRevision = job.revision;
+    job.chainMs = chainTimes(job.row.request);
+    auto& added = m_jobs.emplace(id, std::move(job)).first->second;
+    adoptTasks(added, now);
+    logEvent("job_taken_in",
+        { { "job", id }, { "queue", added.row.queue }, { "workspace", added.row.workspace },
+            { "state", stateName(added.progress.state) }, { "row_version", rowVersion },
+            { "epoch", m_epoch.value() } });
+}
+
+/*! @brief Builds the rounds of a job and takes over the runs that its row names. */
+void Controller::adoptTasks(ManagedWorkload& job, TimePoint now)
+{
+    const auto& steps = job.row.request.steps;
+    job.rounds.resize(steps.size() * job.row.request.rounds());
+    job.progress.forEach([&](const TaskPosition& position, TaskProgress& task) {
+        auto& round = job.round(position.occurrence, position.step);
+        if (!task.done)
+            ++round.open;
+        round.gangFailures += task.failures;
+        for (const auto& it : task.placements) {
+            const RunKey key { { job.id, position }, it.run };
+            LiveRun run;
+            run.lifetime = it.lifetime;
+            run.node = it.node;
+            // The predecessor may or may not have sent the order.
+            run.phase = RunPhase::ordered;
+            run.charged = steps[position.step].charged();
+            run.orderedAt = now;
+            run.percentChangedAt = now;
+            if (isEnded(job.progress.state))
+                run.stopReason = "job has ended";
+            m_runs.emplace(key, std::move(run));
+            ++round.live;
+        }
+        if (!task.done && task.placements.empty())
+            round.waiting.insert(position.index);
+    });
+}
+
+void Controller::cancelJob(const std::string& id, const Moment& now)
+{
+    auto* const job = findJob(id);
+    if (job && !isEnded(job->progress.state))
+        endJob(*job, WorkloadState::cancelled, "cancelled by the client", now);
+}
+
+void Controller::endJob(ManagedWorkload& job, WorkloadState state, const std::string& reason, const Moment& now)
+{
+    job.progress.state = state;
+    job.progress.endedUnixMs = now.unixMs;
+    changed(job);
+    m_completionMs.record(static_cast<double>(now.unixMs - job.row.acceptedUnixMs));
+    logEvent("job_ended",
+        { { "job", job.id }, { "state", stateName(state) }, { "reason", reason },
+            { "age_ms", now.unixMs - job.row.acceptedUnixMs }, { "config_version", m_config->version } });
+    const RunKey first { { job.id, {} }, 0 };
+    for (auto it = m_runs.lower_bound(first); it != m_runs.end() && it->first.task.job == job.id; ++it) {
+        if (!it->second.isStopping())
+            it->second.stopReason = "job " + std::string { stateName(state) };
+    }
+}
+
+void Controller::completeIfDone(ManagedWorkload& job, const Moment& now)
+{
+    if (isEnded(job.progress.state))
+        return;
+    if (std::ranges::all_of(job.rounds, [](const auto& it) { return it.open == 0; }))
+        endJob(job, WorkloadState::completed, "all tasks are done", now);
+}
+
+std::vector<ProgressWrite> Controller::dirty(std::size_t limit) const
+{
+    std::vector<ProgressWrite> writes;
+    for (const auto& [id, job] : m_jobs) {
+        if (writes.size() >= limit)
+            break;
+        if (job.revision != job.storedRevision)
+            writes.push_back(
+                { id, job.rowVersion, job.revision, job.progress.encode(job.row.queue, job.row.workspace) });
+    }
+    return writes;
+}
+
+void Controller::stored(const ProgressWrite& write, std::uint64_t rowVersion)
+{
+    if (auto* const job = findJob(write.job)) {
+        job->storedRevision = write.revision;
+        job->rowVersion = rowVersion;
+    }
+}
+
+void Controller::setRowVersion(const std::string& job, std::uint64_t rowVersion)
+{
+    if (auto* const it = findJob(job))
+        it->rowVersion = rowVersion;
+}
+
+}
--- /dev/null
+++ b/src/lycheespool/controller/controller_planning.cpp
@@ -0,0 +1,370 @@
+// Order of the queue, placement and orders in Controller.
+#include "lycheespool/controller/controller.h"
+
+#include "lycheespool/core/event_log.h"
+#include "lycheespool/dispatch/start_planner.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace lycheespool {
+
+namespace {
+
+// The bench and the users value an accelerator like this many cores.
+constexpr double coresPerAccelerator = 8;
+// Guaranteed gangs wait this long for a single rack; they must start within a reclaim bound of about 2.7 s.
+constexpr std::int64_t guaranteedRackWaitMs = 1000;
+// Stopping work of priority 0 costs its caller more than stopping other work.
+constexpr double urgentEvictionFactor = 4;
+
+double coresOf(const ResourceVector& amount)
+{
+    return static_cast<double>(amount.milliCores) / 1000.0
+        + coresPerAccelerator * static_cast<double>(amount.accelerators);
+}
+
+}
+
+bool Controller::takesWork(const ExecutorView& node, TimePoint now) const
+{
+    return node.state == ExecutorState::ready && !node.isLost && now - node.heardAt <= m_settings.contactAge
+        && !m_zonesOut.contains(node.zone);
+}
+
+/*! @brief Finds the jobs of priority 0 that their workspaces' guarantees cover, the oldest first. */
+std::set<std::string> Controller::guaranteedJobs() const
+{
+    std::vector<const ManagedWorkload*> urgent;
+    for (const auto& [id, job] : m_jobs) {
+        if (!isEnded(job.progress.state) && policyOf(job).priority == 0)
+            urgent.push_back(&job);
+    }
+    std::ranges::sort(urgent, {}, [](const auto* it) { return std::pair { it->row.acceptedUnixMs, it->id }; });
+    std::map<std::string, std::int64_t> claimed;
+    std::set<std::string> covered;
+    for (const auto* job : urgent) {
+        std::int64_t need = 0;
+        for (const auto& step : job->row.request.steps)
+            need = std::max(need, step.perTask.accelerators * step.tasks);
+        const auto* const workspace = m_config->workspace(job->row.workspace);
+        auto& used = claimed[job->row.workspace];
+        if (!workspace || used + need > workspace->guaranteedAccelerators)
+            continue;
+        used += need;
+        covered.insert(job->id);
+    }
+    return covered;
+}
+
+std::vector<Controller::WaitingStep> Controller::waitingSteps(const Moment& now, std::optional<std::int64_t>& nextDue)
+{
+    std::vector<WaitingStep> waiting;
+    const auto guaranteed = guaranteedJobs();
+    for (auto& [id, job] : m_jobs) {
+        if (isEnded(job.progress.state))
+            continue;
+        const auto& request = job.row.request;
+        for (std::uint32_t k = 0; k < request.rounds(); ++k) {
+            auto since = job.row.acceptedUnixMs;
+            if (request.occurrences > 0) {
+                since = request.firstDueUnixMs + request.intervalMs * k;
+                if (now.unixMs < since) {
+                    nextDue = std::min(nextDue.value_or(since), since);
+                    break;
+                }
+            }
+            for (std::uint32_t s = 0; s < request.steps.size(); ++s) {
+                const auto& round = job.round(k, s);
+                const auto& step = request.steps[s];
+                const bool startable
+                    = step.isGang ? round.live == 0 && round.waiting.size() == step.tasks : !round.waiting.empty();
+                const bool ready = startable
+                    && std::ranges::all_of(step.after, [&](auto before) { return job.round(k, before).open == 0; });
+                if (ready)
+                    addWaiting(waiting, job, k, s, guaranteed.contains(id), now.unixMs - since);
+            }
+        }
+    }
+    std::ranges::stable_sort(waiting, {}, &WaitingStep::rank);
+    return waiting;
+}
+
+void Controller::addWaiting(std::vector<WaitingStep>& steps, ManagedWorkload& job, std::uint32_t occurrence,
+    std::uint32_t step, bool isGuaranteed, std::int64_t ageMs)
+{
+    const auto& spec = job.row.request.steps[step];
+    const auto& policy = policyOf(job);
+    const auto remaining = job.chainMs[step];
+    const auto chain = *std::ranges::max_element(job.chainMs);
+    const auto objective
+        = static_cast<std::int64_t>(policy.stretch * static_cast<double>(chain)) + policy.targetLatencyMs;
+
+    StartRequest request;
+    request.perTask = spec.charged();
+    request.isGang = spec.isGang;
+    request.prefersOneRack = spec.prefersOneRack && spec.tasks > 1;
+    request.requiredLabel = spec.requiredLabel;
+    request.dataRack = spec.dataRack;
+    request.maxPerNode = spec.maxPerExecutor;
+    request.mayEvict = isGuaranteed;
+    // Waiting for the right rack pays until the wait exceeds half of what the slower place costs.
+    const auto remoteCost = (m_settings.bounds.remoteFactor - 1) * static_cast<double>(remaining);
+    request.acceptsRemote
+        = static_cast<double>(ageMs) > remoteCost / 2 || (isGuaranteed && ageMs > guaranteedRackWaitMs);
+
+    // A gang keeps to places whose number of tasks counts from zero, since none of it runs.
+    for (std::uint32_t i = 0; i < spec.tasks && !spec.isGang && spec.maxPerExecutor > 0; ++i) {
+        for (const auto& it : job.progress.at({ occurrence, step, i }).placements)
+            ++request.tasksOn[it.node];
+    }
+    const auto rank = rankOf({ policy.priority, isGuaranteed, ageMs, objective, remaining });
+    // Tasks that failed on different nodes avoid different nodes, so they make requests of their own.
+    std::map<std::string, std::vector<std::uint32_t>> byAvoided;
+    const auto& waiting = job.round(occurrence, step).waiting;
+    if (spec.isGang) {
+        std::string avoided;
+        for (const auto index : waiting) {
+            const auto& failedOn = job.progress.at({ occurrence, step, index }).failedOn;
+            if (!failedOn.empty())
+                avoided = failedOn;
+        }
+        byAvoided[avoided] = { waiting.begin(), waiting.end() };
+    } else {
+        for (const auto index : waiting)
+            byAvoided[job.progress.at({ occurrence, step, index }).failedOn].push_back(index);
+    }
+    for (auto& [avoided, indices] : byAvoided) {
+        request.avoidedNode = avoided;
+        request.tasks = static_cast<std::uint32_t>(indices.size());
+        steps.push_back({ rank, &job, occurrence, step, std::move(indices), request });
+    }
+}
+
+double Controller::unsavedWork(const RunKey& key, const LiveRun& run, TimePoint now) const
+{
+    if (run.phase != RunPhase::confirmed)
+        return 0;
+    const auto saved = std::max(run.confirmedAt, run.checkpointAt);
+    const auto seconds = std::chrono::duration<double> { now - saved }.count();
+    const auto it = m_jobs.find(key.task.job);
+    const bool urgent = it != m_jobs.end() && policyOf(it->second).priority == 0;
+    return std::max(0.0, seconds) * coresOf(run.charged) * (urgent ? urgentEvictionFactor : 1.0);
+}
+
+std::optional<std::int64_t> Controller::plan(const Moment& now)
+{
+    std::optional<std::int64_t> nextDue;
+    auto waiting = waitingSteps(now, nextDue);
+    if (waiting.empty())
+        return nextDue;
+    const auto guaranteed = guaranteedJobs();
+
+    std::map<Lifetime, std::pair<ResourceVector, ResourceVector>> used;
+    std::vector<RunKey> handles;
+    std::map<Lifetime, std::vector<EvictableRun>> evictable;
+    std::map<std::tuple<std::string, std::uint32_t, std::uint32_t, std::uint64_t>, std::size_t> groups;
+    std::map<std::size_t, double> groupCost;
+    for (const auto& [key, run] : m_runs) {
+        auto& [busy, returning] = used[run.lifetime];
+        busy += run.charged;
+        if (run.isStopping()) {
+            returning += run.charged;
+            continue;
+        }
+        const auto* const job = findJob(key.task.job);
+        const auto& step = job->row.request.steps[key.task.position.step];
+        if (guaranteed.contains(key.task.job) || step.isService)
+            continue;
+        EvictableRun it { handles.size(), 0, run.charged, unsavedWork(key, run, now.steady) };
+        if (step.isGang) {
+            const std::tuple group { key.task.job, key.task.position.occurrence, key.task.position.step, key.run };
+            it.group = groups.try_emplace(group, groups.size() + 1).first->second;
+            groupCost[it.group] += it.unsavedCoreSeconds;
+        }
+        handles.push_back(key);
+        evictable[run.lifetime].push_back(it);
+    }
+
+    std::map<std::string, std::vector<NodeRoom>> rooms;
+    for (const auto& [name, node] : m_nodes) {
+        if (!takesWork(node, now.steady))
+            continue;
+        NodeRoom room;
+        room.node = name;
+        room.rack = node.rack;
+        room.labels = node.labels;
+        room.capacity = node.capacity;
+        room.free = node.capacity;
+        room.isSuspect = now.steady < node.suspectUntil;
+        const auto [busy, returning] = used[node.lifetime];
+        room.free -= busy;
+        room.returning = returning;
+        for (const auto& [key, stray] : node.strays)
+            room.free -= stray.charged;
+        room.evictable = evictable[node.lifetime];
+        for (auto& it : room.evictable) {
+            if (it.group != 0)
+                it.unsavedCoreSeconds = groupCost[it.group];
+        }
+        rooms[node.service].push_back(std::move(room));
+    }
+
+    for (auto& [service, nodes] : rooms) {
+        std::vector<std::size_t> positions;
+        std::vector<StartRequest> requests;
+        for (std::size_t i = 0; i < waiting.size(); ++i) {
+            if (policyOf(*waiting[i].job).service != service)
+                continue;
+            positions.push_back(i);
+            requests.push_back(waiting[i].request);
+        }
+        std::vector<std::string> names;
+        std::ranges::transform(nodes, std::back_inserter(names), &NodeRoom::node);
+        const auto plan = StartPlanner { std::move(nodes) }.plan(requests);
+        for (const auto& it : plan.starts) {
+            std::vector<std::string> places;
+            for (const auto node : it.nodes)
+                places.push_back(names[node]);
+            startRuns(waiting[positions[it.request]], places, now);
+        }
+        for (const auto handle : plan.evictions) {
+            m_runsEvicted.add();
+            stopRun(handles[handle], "evicted for guaranteed work");
+        }
+    }
+    return nextDue;
+}
+
+void Controller::startRuns(WaitingStep& waiting, const std::vector<std::string>& nodes, const Moment& now)
+{
+    auto& job = *waiting.job;
+    auto& round = job.round(waiting.occurrence, waiting.step);
+    const auto& spec = job.row.request.steps[waiting.step];
+    std::uint64_t gangRun = 0;
+    std::string gangCheckpoint;
+    if (spec.isGang) {
+        for (std::uint32_t i = 0; i < spec.tasks; ++i) {
+            const auto& task = job.progress.at({ waiting.occurrence, waiting.step, i });
+            gangRun = std::max(gangRun, task.lastRun);
+            // Checkpoints start with the amount of work in digits of a fixed number, so the largest is the newest.
+            gangCheckpoint = std::max(gangCheckpoint, task.checkpoint);
+        }
+        ++gangRun;
+    }
+    changed(job);
+    if (job.progress.state == WorkloadState::pending) {
+        job.progress.state = WorkloadState::running;
+        m_waitMs.record(static_cast<double>(now.unixMs - job.row.acceptedUnixMs));
+    }
+    for (std::size_t i = 0; i < nodes.size(); ++i) {
+        const TaskPosition position { waiting.occurrence, waiting.step, waiting.indices[i] };
+        auto& task = job.progress.at(position);
+        const auto& node = m_nodes.at(nodes[i]);
+        task.lastRun = spec.isGang ? gangRun : task.lastRun + 1;
+        if (spec.isGang)
+            task.checkpoint = gangCheckpoint;
+        task.placements.push_back({ node.lifetime, node.node, task.lastRun });
+        LiveRun run;
+        run.lifetime = node.lifetime;
+        run.node = node.node;
+        run.plannedRevision = job.revision;
+        run.charged = spec.charged();
+        run.checkpoint = task.checkpoint;
+        run.percentChangedAt = now.steady;
+        const RunKey key { { job.id, position }, task.lastRun };
+        m_runs.emplace(key, std::move(run));
+        round.waiting.erase(position.index);
+        ++round.live;
+        m_runsPlanned.add();
+        logEvent("run_planned",
+            { { "job", job.id }, { "task", key.task.toString() }, { "run", key.run }, { "node", node.node },
+                { "executor", node.lifetime.executor }, { "tier", waiting.rank.tier },
+                { "slack_ms", waiting.rank.slackMs }, { "late", waiting.rank.isLate },
+                { "report_age_ms",
+                    std::chrono::duration_cast<std::chrono::milliseconds>(now.steady - node.heardAt).count() },
+                { "config_version", m_config->version }, { "epoch", m_epoch.value() } });
+    }
+}
+
+/*! @brief Tells whether a start that was decided earlier is still right. */
+bool Controller::mayStillStart(const RunKey& key, const LiveRun& run, TimePoint now) const
+{
+    const auto node = m_nodes.find(run.node);
+    const auto job = m_jobs.find(key.task.job);
+    return node != m_nodes.end() && job != m_jobs.end() && node->second.lifetime == run.lifetime
+        && takesWork(node->second, now) && policyOf(job->second).service == node->second.service;
+}
+
+RunOrder Controller::orderFor(const RunKey& key, const LiveRun& run)
+{
+    RunOrder order;
+    order.isStart = !run.isStopping();
+    order.task = key.task.toString();
+    order.run = key.run;
+    if (order.isStart) {
+        const auto& job = m_jobs.at(key.task.job);
+        order.payload = job.row.request.payload;
+        order.checkpoint = job.progress.at(key.task.position).checkpoint;
+    }
+    return order;
+}
+
+std::map<std::string, NodeOrders> Controller::takeOrders(const Moment& now)
+{
+    std::map<std::string, NodeOrders> orders;
+    const auto add = [&](const ExecutorView& node, RunOrder order) {
+        auto& batch = orders[node.node];
+        batch.epoch = m_epoch;
+        batch.lifetime = node.lifetime;
+        batch.basedOnMs = node.newestReportMs;
+        batch.orders.push_back(std::move(order));
+    };
+    for (auto it = m_runs.begin(); it != m_runs.end();) {
+        const auto current = it++;
+        const auto& key = current->first;
+        auto& run = current->second;
+        if (run.phase == RunPhase::planned && run.isStopping()) {
+            releaseRun(current);
+            continue;
+        }
+        const auto node = m_nodes.find(run.node);
+        if (node == m_nodes.end() || node->second.lifetime != run.lifetime)
+            continue;
+        const auto* const job = findJob(key.task.job);
+        const bool isDue = now.steady - run.orderedAt >= m_settings.orderRetry;
+        if (!run.isStopping()) {
+            if (run.phase == RunPhase::confirmed || !job || job->storedRevision < run.plannedRevision)
+                continue;
+            if (run.phase == RunPhase::ordered && (!isDue || node->second.heardAt < run.orderedAt))
+                continue;
+            if (!mayStillStart(key, run, now.steady)) {
+                stopRun(key, "the executor takes no more work");
+                continue;
+            }
+        } else if ((run.stopAnswered && now.steady - run.orderedAt < 2 * m_settings.orderRetry) || !isDue) {
+            continue;
+        }
+        run.orderedAt = now.steady;
+        if (run.phase == RunPhase::planned)
+            run.phase = RunPhase::ordered;
+        add(node->second, orderFor(key, run));
+    }
+    for (auto& [name, node] : m_nodes) {
+        for (auto& [key, stray] : node.strays) {
+            if (now.steady - stray.orderedAt < m_settings.orderRetry)
+                continue;
+            stray.orderedAt = now.steady;
+            m_straysStopped.add();
+            RunOrder order;
+            order.isStart = false;
+            order.task = key.task.toString();
+            order.run = key.run;
+            add(node, std::move(order));
+        }
+    }
+    return orders;
+}
+
+}
--- /dev/null
+++ b/src/lycheespool/controller/controller_settings.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "lycheespool/cluster/node_settings.h"
+#include "lycheespool/core/clock.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace lycheespool {
+
+/*! @brief Time constants of the leader. */
+struct ControllerSettings {
+    /*! @brief Permit of an agent to extend its executor's lease; tasks of an unreachable executor wait this long. */
+    Duration permit { std::chrono::seconds { 7 } };
+    /*! @brief A leader without the store goes on granting permits this long after its lease ran out. */
+    Duration passiveGrace { std::chrono::seconds { 6 } };
+    /*! @brief Time after which an order without an outcome is sent again. */
+    Duration orderRetry { std::chrono::milliseconds { 1500 } };
+    /*! @brief Least time without progress after which a task counts as stalled. */
+    Duration stallTime { std::chrono::milliseconds { 3500 } };
+    /*! @brief Time for which an executor that failed or stalled tasks is avoided. */
+    Duration suspicion { std::chrono::seconds { 10 } };
+    /*! @brief Oldest contact with an agent on which a start may rely. */
+    Duration contactAge { std::chrono::milliseconds { 2200 } };
+    ClusterBounds bounds;
+
+    /**
+     * @brief Derives the constants from the bounds of a deployment.
+     * @param bounds The bounds.
+     * @return Settings.
+     */
+    [[nodiscard]] static ControllerSettings from(const ClusterBounds& bounds)
+    {
+        ControllerSettings settings;
+        settings.bounds = bounds;
+        // Survives the loss of a leader and a short cut, and delays the restart of lost tasks no longer than needed.
+        settings.permit = std::clamp<Duration>(bounds.maxLease, std::chrono::seconds { 5 }, std::chrono::seconds { 7 });
+        return settings;
+    }
+
+    /**
+     * @brief Bounds the time until a permit that was granted now has certainly run out at the executor.
+     * @return The permit, 3% for clocks that run 2% slow, and 300 ms for the kill.
+     */
+    [[nodiscard]] Duration permitEnd() const { return permit + permit * 3 / 100 + std::chrono::milliseconds { 300 }; }
+};
+
+}
--- /dev/null
+++ b/src/lycheespool/controller/fwd.h
@@ -0,0 +1,12 @@
+#pragma once
+
+namespace lycheespool {
+
+class Controller;
+class ExecutorView;
+
+struct ControllerSettings;
+struct LiveRun;
+struct ManagedWorkload;
+
+}
--- /dev/null
+++ b/src/lycheespool/controller/leader_host.h
@@ -0,0 +1,380 @@
+#pragma once
+
+#include "lycheespool/cluster/operator_watcher.h"
+#include "lycheespool/controller/controller.h"
+#include "lycheespool/controller/leadership.h"
+#include "lycheespool/net/rpc_connection.h"
+#include "lycheespool/net/wake_up.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+
+namespace lycheespool {
+
+/**
+ * @brief Runs the Controller of a term: lease, rows, reports of agents and orders to them.
+ *
+ * Lives on one thread.
+ *
+ * @tparam Store Model of RowStore.
+ */
+template <RowStore Store>
+class LeaderHost : public std::enable_shared_from_this<LeaderHost<Store>> {
+public:
+    /*! @brief Longest time for an answer of the store to a read or write of rows. */
+    static constexpr Duration answerTimeout = std::chrono::milliseconds { 1500 };
+    /*! @brief Longest wait of a feed for new jobs. */
+    static constexpr Duration feedWait = std::chrono::milliseconds { 1000 };
+    /*! @brief Longest time between two looks at the state without an event. */
+    static constexpr Duration idleInterval = std::chrono::milliseconds { 250 };
+    /*! @brief Pause after a failed call of the store. */
+    static constexpr Duration retryPause = std::chrono::milliseconds { 150 };
+    /*! @brief Longest time for the answer of an agent; it covers the agent's own attempts at the executor. */
+    static constexpr Duration orderTimeout = std::chrono::milliseconds { 4000 };
+    /*! @brief Oldest operator state on which a start may rely; well below the time in which changes must apply. */
+    static constexpr Duration operatorStateAge = std::chrono::milliseconds { 1600 };
+    /*! @brief Rows in one transaction: each needs a condition and a write, and the fence needs one condition. */
+    static constexpr std::size_t rowsPerCommit = (maxTransactionEntries - 1) / 2;
+
+    /**
+     * @brief Makes a host that does not lead.
+     * @param executor Executor of the thread.
+     * @param store The store; must outlive the host.
+     * @param watcher Follows the operators' rows; must outlive the host.
+     * @param names Names of the rows.
+     * @param self This process as it is written into the lease row.
+     * @param settings Time constants.
+     * @param metrics Registry for counters.
+     */
+    LeaderHost(const asio::any_io_executor& executor, Store& store, OperatorWatcher<Store>& watcher, RowNames names,
+        LeaseRow self, const ControllerSettings& settings, Metrics& metrics)
+        : m_executor { executor }
+        , m_store { store }
+        , m_watcher { watcher }
+        , m_names { names }
+        , m_settings { settings }
+        , m_metrics { metrics }
+        , m_leadership { store, std::move(names), std::move(self) }
+        , m_wakeUp { executor }
+        , m_commitMs { metrics.distribution("progress_commit_ms") }
+        , m_takeovers { metrics.counter("leadership_taken_total") }
+        , m_commitFailures { metrics.counter("progress_commits_failed_total") }
+    {
+    }
+
+    /*! @brief Starts the loops. */
+    void start()
+    {
+        spawn(&LeaderHost::leaseLoop);
+        spawn(&LeaderHost::workLoop);
+    }
+
+    /*! @brief Tells the host that the operators' state changed. */
+    void onOperatorChange() { m_wakeUp.wake(); }
+
+    /*! @brief Gives the lease back before a planned stop. */
+    [[nodiscard]] Awaitable<> retire()
+    {
+        m_controller.reset();
+        co_await m_leadership.giveBack();
+    }
+
+    /**
+     * @brief Answers a report of an agent.
+     * @param connection Connection of the agent, used for orders to it.
+     * @param report The report.
+     * @return The reply.
+     */
+    [[nodiscard]] NodeReportReply onReport(const std::shared_ptr<RpcConnection>& connection, const NodeReport& report)
+    {
+        NodeReportReply reply;
+        reply.epoch = m_leadership.epoch();
+        const auto now = moment();
+        reply.leads = m_controller && m_leadership.mayGrant(now.steady, m_settings.passiveGrace);
+        if (!reply.leads)
+            return reply;
+        reply.active = m_leadership.isHeld(now.steady);
+        auto& known = m_connections[report.node];
+        // Reports that are still under way on an older connection must not follow newer ones.
+        if (known && known != connection)
+            known->close();
+        known = connection;
+        m_controller->onReport(report, now);
+        m_controller->grantPermit(report.node, now.steady);
+        reply.permitMs = static_cast<std::uint64_t>(
+            std::chrono::duration_cast<std::chrono::milliseconds>(m_settings.permit).count());
+        reply.endsStored = m_controller->endsStored(report.node);
+        m_wakeUp.wake();
+        return reply;
+    }
+
+    /*! @brief The controller of the present term, or null. */
+    [[nodiscard]] const Controller* controller() const { return m_controller.get(); }
+
+private:
+    [[nodiscard]] static Moment moment() { return { BootClock {}.now(), unixMillis() }; }
+
+    void spawn(Awaitable<> (LeaderHost::*loop)())
+    {
+        const auto self = this->shared_from_this();
+        asio::co_spawn(
+            m_executor, [self, loop]() -> Awaitable<> { co_await ((*self).*loop)(); }, asio::detached);
+    }
+
+    [[nodiscard]] Awaitable<> leaseLoop()
+    {
+        while (true) {
+            const auto change = co_await m_leadership.step();
+            if (change == LeadershipChange::taken) {
+                m_takeovers.add();
+                const auto term = ++m_term;
+                const auto self = this->shared_from_this();
+                asio::co_spawn(
+                    m_executor, [self, term]() -> Awaitable<> { co_await self->termLoop(term); }, asio::detached);
+            } else if (change == LeadershipChange::lost) {
+                ++m_term;
+                m_controller.reset();
+            }
+            co_await sleepFor(Leadership<Store>::times.renewInterval);
+        }
+    }
+
+    /*! @brief Reads all rows, then follows new jobs and cancellations until the term ends. */
+    [[nodiscard]] Awaitable<> termLoop(std::uint64_t term)
+    {
+        std::optional<std::uint64_t> version;
+        m_controller.reset();
+        while (m_term == term) {
+            bool failed = false;
+            try {
+                if (!version)
+                    version = co_await rebuild(term);
+                else
+                    version = co_await follow(term, *version);
+            } catch (const Error& error) {
+                failed = true;
+                if (!std::exchange(m_isIntakeDown, true))
+                    logEvent("intake_unreachable",
+                        { { "epoch", m_leadership.epoch().value() }, { "reason", error.what() } });
+            }
+            if (failed)
+                co_await sleepFor(retryPause);
+            else if (std::exchange(m_isIntakeDown, false))
+                logEvent("intake_regained", { { "epoch", m_leadership.epoch().value() } });
+        }
+    }
+
+    [[nodiscard]] Awaitable<std::uint64_t> rebuild(std::uint64_t term)
+    {
+        RowRange intakeRange { std::string { RowNames::intakeTable }, m_names.partition, {}, {} };
+        RowRange progressRange { std::string { RowNames::progressTable }, m_names.partition, {}, {} };
+        const auto intake = co_await m_store.list(std::move(intakeRange), answerTimeout);
+        const auto progress = co_await m_store.list(std::move(progressRange), answerTimeout);
+        if (m_term != term)
+            co_return intake.version;
+        const auto now = moment();
+        if (!m_controller)
+            m_controller = std::make_unique<Controller>(m_settings, m_leadership.epoch(), now.steady, m_metrics);
+        std::map<std::string, const StoredRow*> progressOf;
+        for (const auto& it : progress.rows)
+            progressOf[it.name.key] = &it;
+        for (const auto& it : intake.rows) {
+            const auto row = it.name.key.starts_with(RowNames::jobPrefix)
+                ? progressOf.find(it.name.key.substr(RowNames::jobPrefix.size()))
+                : progressOf.end();
+            if (row != progressOf.end())
+                takeIn(row->first, it, row->second->value, row->second->version, now);
+        }
+        for (const auto& it : intake.rows)
+            takeCancel(it, now);
+        logEvent("state_rebuilt",
+            { { "epoch", m_leadership.epoch().value() }, { "jobs", m_controller->jobs().size() },
+                { "runs", m_controller->liveRuns().size() }, { "store_version", intake.version } });
+        m_wakeUp.wake();
+        co_return intake.version;
+    }
+
+    [[nodiscard]] Awaitable<std::optional<std::uint64_t>> follow(std::uint64_t term, std::uint64_t after)
+    {
+        std::string table { RowNames::intakeTable };
+        const auto changes = co_await m_store.changes(std::move(table), after, feedWait, feedWait + answerTimeout);
+        if (changes.isHistoryLost) {
+            logEvent("intake_history_lost", { { "version", after } });
+            co_return std::nullopt;
+        }
+        if (m_term != term || !m_controller)
+            co_return changes.version;
+        const auto now = moment();
+        for (const auto& it : changes.rows) {
+            if (it.isRemoved || !it.name.key.starts_with(RowNames::jobPrefix))
+                continue;
+            // The entry writes the job and its progress in one transaction, so both have the same version.
+            takeIn(it.name.key.substr(RowNames::jobPrefix.size()), it, {}, it.version, now);
+        }
+        for (const auto& it : changes.rows)
+            takeCancel(it, now);
+        if (!changes.rows.empty())
+            m_wakeUp.wake();
+        co_return std::max(after, changes.version);
+    }
+
+    void takeIn(const std::string& id, const StoredRow& row, std::string_view progress, std::uint64_t version,
+        const Moment& now)
+    {
+        try {
+            auto job = unpackValue<JobRow>(row.value);
+            const auto initial = progress.empty() ? JobProgress { job.request }.encode(job.queue, job.workspace)
+                                                  : std::string { progress };
+            m_controller->addJob(id, std::move(job), initial, version, now.steady);
+        } catch (const Error& error) {
+            logEvent("job_row_unreadable", { { "job", id }, { "version", row.version }, { "reason", error.what() } });
+        }
+    }
+
+    void takeCancel(const StoredRow& row, const Moment& now)
+    {
+        if (!row.isRemoved && row.name.key.starts_with(RowNames::cancelPrefix))
+            m_controller->cancelJob(row.name.key.substr(RowNames::cancelPrefix.size()), now);
+    }
+
+    [[nodiscard]] Awaitable<> workLoop()
+    {
+        while (true) {
+            auto pause = idleInterval;
+            const auto now = moment();
+            if (m_controller && m_leadership.isHeld(now.steady)) {
+                if (const auto due = decide(now))
+                    pause = std::clamp<Duration>(
+                        std::chrono::milliseconds { *due - now.unixMs }, std::chrono::milliseconds { 1 }, idleInterval);
+                if (!co_await storeChanges())
+                    pause = retryPause;
+                sendOrders();
+                if (m_controller && m_hasMore)
+                    pause = std::chrono::milliseconds { 0 };
+            }
+            co_await m_wakeUp.wait(pause);
+        }
+    }
+
+    [[nodiscard]] std::optional<std::int64_t> decide(const Moment& now)
+    {
+        const auto& state = m_watcher.state();
+        m_controller->expire(now);
+        if (!state.config || m_watcher.age(now.steady) > operatorStateAge)
+            return std::nullopt;
+        m_controller->setConfig(state.config);
+        m_controller->setZonesOut(state.zonesOut);
+        return m_controller->plan(now);
+    }
+
+    /*! @brief Stores changed progress rows; gives false when the store did not take them. */
+    [[nodiscard]] Awaitable<bool> storeChanges()
+    {
+        const auto writes = m_controller->dirty(rowsPerCommit);
+        m_hasMore = writes.size() == rowsPerCommit;
+        if (writes.empty())
+            co_return true;
+        const auto term = m_term;
+        RowTransaction transaction;
+        transaction.conditions.push_back(m_leadership.fence());
+        for (const auto& it : writes) {
+            transaction.conditions.push_back({ m_names.progress(it.job), it.rowVersion });
+            transaction.writes.push_back({ m_names.progress(it.job), it.value });
+        }
+        const auto sent = BootClock {}.now();
+        RowCommit commit;
+        try {
+            commit = co_await m_store.commit(std::move(transaction), answerTimeout);
+        } catch (const Error& error) {
+            m_commitFailures.add();
+            logEvent("progress_commit_failed",
+                { { "rows", writes.size() }, { "epoch", m_leadership.epoch().value() }, { "reason", error.what() } });
+            co_return false;
+        }
+        if (m_term != term || !m_controller)
+            co_return true;
+        m_commitMs.record(std::chrono::duration<double, std::milli> { BootClock {}.now() - sent }.count());
+        if (commit.isCommitted) {
+            for (const auto& it : writes)
+                m_controller->stored(it, commit.version);
+            co_return true;
+        }
+        adoptVersions(writes, commit);
+        co_return false;
+    }
+
+    /*! @brief Learns which of the rows an earlier commit without an answer has written. */
+    void adoptVersions(const std::vector<ProgressWrite>& writes, const RowCommit& commit)
+    {
+        for (const auto& row : commit.current) {
+            const auto it = std::ranges::find_if(
+                writes, [&](const auto& write) { return m_names.progress(write.job) == row.name; });
+            if (it != writes.end() && row.version != it->rowVersion)
+                m_controller->setRowVersion(it->job, row.version);
+        }
+        logEvent("progress_commit_conflict", { { "rows", writes.size() }, { "epoch", m_leadership.epoch().value() } });
+    }
+
+    void sendOrders()
+    {
+        const auto now = moment();
+        const auto& state = m_watcher.state();
+        if (!m_controller || !m_leadership.isHeld(now.steady) || !state.config
+            || m_watcher.age(now.steady) > operatorStateAge)
+            return;
+        m_controller->setZonesOut(state.zonesOut);
+        for (auto& [node, orders] : m_controller->takeOrders(now)) {
+            const auto connection = m_connections.find(node);
+            if (connection == m_connections.end() || !connection->second->isOpen())
+                continue;
+            orders.endsStored = m_controller->endsStored(node);
+            const auto self = this->shared_from_this();
+            asio::co_spawn(
+                m_executor,
+                [self, node, orders = std::move(orders), connection = connection->second, term = m_term]() mutable
+                -> Awaitable<> { co_await self->deliver(node, std::move(orders), connection, term); },
+                asio::detached);
+        }
+    }
+
+    [[nodiscard]] Awaitable<> deliver(
+        std::string node, NodeOrders orders, std::shared_ptr<RpcConnection> connection, std::uint64_t term)
+    {
+        const auto lifetime = orders.lifetime;
+        const auto count = orders.orders.size();
+        NodeOrdersReply reply;
+        try {
+            reply = co_await connection->call<NodeOrdersReply>(std::move(orders), orderTimeout);
+        } catch (const Error& error) {
+            logEvent("orders_unanswered", { { "node", node }, { "orders", count }, { "reason", error.what() } });
+            co_return;
+        }
+        if (m_term != term || !m_controller)
+            co_return;
+        const auto now = moment();
+        for (const auto& it : reply.outcomes)
+            m_controller->onOutcome(node, lifetime, it, now);
+        m_wakeUp.wake();
+    }
+
+    asio::any_io_executor m_executor;
+    Store& m_store;
+    OperatorWatcher<Store>& m_watcher;
+    RowNames m_names;
+    ControllerSettings m_settings;
+    Metrics& m_metrics;
+    Leadership<Store> m_leadership;
+    WakeUp m_wakeUp;
+    std::unique_ptr<Controller> m_controller;
+    std::uint64_t m_term { 0 };
+    std::map<std::string, std::shared_ptr<RpcConnection>> m_connections;
+    bool m_hasMore { false };
+    bool m_isIntakeDown { false };
+    Distribution& m_commitMs;
+    Counter& m_takeovers;
+    Counter& m_commitFailures;
+};
+
+}
--- /dev/null
+++ b/src/lycheespool/controller/lease_row.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <cstdint>
+#include <msgpack.hpp>
+#include <string>
+
+namespace lycheespool {
+
+/*! @brief Row of the leader lease. */
+struct LeaseRow {
+    /*! @brief Name of the holder's VM; empty when the lease was given back. */
+    std::string holder;
+    /*! @brief Distinguishes the processes of one VM. */
+    std::uint64_t incarnation { 0 };
+    /*! @brief Address for the reports of agents. */
+    std::string address;
+    std::uint64_t epoch { 0 };
+    MSGPACK_DEFINE(holder, incarnation, address, epoch)
+};
+
+}
--- /dev/null
+++ b/src/lycheespool/controller/managed_workload.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "lycheespool/workload/job_progress.h"
+
+#include <cstdint>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace lycheespool {
+
+/*! @brief Tasks of one step in one occurrence. */
+struct StepRound {
+    /*! @brief Tasks that are not done. */
+    std::uint32_t open { 0 };
+    /*! @brief Runs that have not certainly ended. */
+    std::uint32_t live { 0 };
+    /*! @brief Open tasks without a run. */
+    std::set<std::uint32_t> waiting;
+    /*! @brief Failed runs of the gang. */
+    std::uint32_t gangFailures { 0 };
+    /*! @brief Run number of the last counted failure of the gang. */
+    std::uint64_t lastFailedRun { 0 };
+};
+
+/*! @brief A job in the leader's memory. */
+struct ManagedWorkload {
+    std::string id;
+    JobRow row;
+    JobProgress progress;
+    std::vector<StepRound> rounds;
+    /*! @brief Grows with each change of the progress. */
+    std::uint64_t revision { 1 };
+    std::uint64_t storedRevision { 0 };
+    /*! @brief Version of the progress row. */
+    std::uint64_t rowVersion { 0 };
+    /*! @brief Estimated run time from the start of each step to the end of the job, ms. */
+    std::vector<std::int64_t> chainMs;
+
+    [[nodiscard]] StepRound& round(std::uint32_t occurrence, std::uint32_t step)
+    {
+        return rounds[occurrence * row.request.steps.size() + step];
+    }
+};
+
+}
--- /dev/null
+++ b/src/lycheespool/dispatch/fwd.h
@@ -0,0 +1,10 @@
+#pragma once
+
+namespace lycheespool {
+
+struct EvictableRun;
+struct NodeRoom;
+struct StartPlan;
+struct StartRequest;
+
+}
--- /dev/null
+++ b/src/lycheespool/dispatch/start_planner.cpp
@@ -0,0 +1,286 @@
+#include "lycheespool/dispatch/start_planner.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace lycheespool {
+
+namespace {
+
+/*! @brief Share of an executor that a task would leave free, for the scarcest resource; smaller fits tighter. */
+double leftover(const NodeRoom& node, const ResourceVector& need)
+{
+    const auto share = [](std::int64_t free, std::int64_t used, std::int64_t capacity) {
+        return capacity > 0 ? static_cast<double>(free - used) / static_cast<double>(capacity) : 0.0;
+    };
+    return share(node.free.milliCores, need.milliCores, node.capacity.milliCores)
+        + share(node.free.memoryMiB, need.memoryMiB, node.capacity.memoryMiB)
+        + share(node.free.accelerators, need.accelerators, node.capacity.accelerators);
+}
+
+}
+
+StartPlan StartPlanner::plan(std::span<const StartRequest> requests)
+{
+    StartPlan plan;
+    for (std::size_t i = 0; i < requests.size(); ++i) {
+        const auto& request = requests[i];
+        auto places = find(request, {});
+        if (places.empty())
+            places = find(request, { .withSuspects = true });
+        if (!places.empty()) {
+            take(request, places);
+            plan.starts.push_back({ i, std::move(places) });
+            continue;
+        }
+        if (request.mayEvict && find(request, { .withSuspects = true, .withReturning = true }).empty()
+            && evictFor(request, plan))
+            continue;
+        reserve(request);
+    }
+    return plan;
+}
+
+bool StartPlanner::isAllowed(const StartRequest& request, std::size_t node, const Scope& scope) const
+{
+    const auto& it = m_nodes[node];
+    if (!it.isUsable || m_reserved[node] || (it.isSuspect && !scope.withSuspects))
+        return false;
+    if (!scope.withSuspects && it.node == request.avoidedNode)
+        return false;
+    if (!scope.rack.empty() && it.rack != scope.rack)
+        return false;
+    return request.requiredLabel.empty() || std::ranges::find(it.labels, request.requiredLabel) != it.labels.end();
+}
+
+std::int64_t StartPlanner::copiesOn(const StartRequest& request, std::size_t node, const Scope& scope) const
+{
+    if (!isAllowed(request, node, scope))
+        return 0;
+    const auto& it = m_nodes[node];
+    auto room = scope.whenEmpty ? it.capacity : it.free;
+    if (scope.withReturning)
+        room += it.returning;
+    auto copies = std::min<std::int64_t>(request.perTask.copiesIn(room), request.tasks);
+    if (request.maxPerNode > 0) {
+        const auto running = request.tasksOn.find(it.node);
+        const std::int64_t present = running == request.tasksOn.end() ? 0 : running->second;
+        copies = std::min(copies, std::max<std::int64_t>(0, request.maxPerNode - present));
+    }
+    return copies;
+}
+
+std::int64_t StartPlanner::copiesIn(const StartRequest& request, const Scope& scope) const
+{
+    std::int64_t copies = 0;
+    for (std::size_t i = 0; i < m_nodes.size(); ++i)
+        copies += copiesOn(request, i, scope);
+    return copies;
+}
+
+/*! @brief Fills the fullest executors first, up to the number of tasks. */
+StartPlanner::Places StartPlanner::findPlaces(const StartRequest& request, const Scope& scope) const
+{
+    std::vector<std::size_t> order(m_nodes.size());
+    std::iota(order.begin(), order.end(), std::size_t { 0 });
+    std::ranges::stable_sort(order, {}, [&](std::size_t it) { return leftover(m_nodes[it], request.perTask); });
+    Places places;
+    for (const auto node : order) {
+        const auto copies = copiesOn(request, node, scope);
+        for (std::int64_t i = 0; i < copies && places.size() < request.tasks; ++i)
+            places.push_back(node);
+    }
+    return places;
+}
+
+std::set<std::string> StartPlanner::racks() const
+{
+    std::set<std::string> racks;
+    for (const auto& it : m_nodes)
+        racks.insert(it.rack);
+    return racks;
+}
+
+StartPlanner::Places StartPlanner::findGang(const StartRequest& request, Scope scope) const
+{
+    const std::int64_t wanted = request.tasks;
+    if (request.prefersOneRack) {
+        Places best;
+        std::int64_t bestCopies = 0;
+        bool possible = false;
+        for (const auto& rack : racks()) {
+            scope.rack = rack;
+            auto empty = scope;
+            empty.whenEmpty = true;
+            possible = possible || copiesIn(request, empty) >= wanted;
+            const auto copies = copiesIn(request, scope);
+            // The rack with the least room that suffices keeps the others open for larger gangs.
+            if (copies >= wanted && (best.empty() || copies < bestCopies)) {
+                best = findPlaces(request, scope);
+                bestCopies = copies;
+            }
+        }
+        if (!best.empty() || (possible && !request.acceptsRemote))
+            return best;
+        scope.rack.clear();
+    }
+    auto places = findPlaces(request, scope);
+    if (std::cmp_less(places.size(), wanted))
+        return {};
+    return places;
+}
+
+StartPlanner::Places StartPlanner::findTasks(const StartRequest& request, Scope scope) const
+{
+    if (!request.dataRack.empty()) {
+        scope.rack = request.dataRack;
+        auto places = findPlaces(request, scope);
+        auto empty = scope;
+        empty.whenEmpty = true;
+        const bool possible = copiesIn(request, empty) > 0;
+        if (!places.empty() || (possible && !request.acceptsRemote))
+            return places;
+        scope.rack.clear();
+    }
+    return findPlaces(request, scope);
+}
+
+StartPlanner::Places StartPlanner::find(const StartRequest& request, const Scope& scope) const
+{
+    return request.isGang ? findGang(request, scope) : findTasks(request, scope);
+}
+
+void StartPlanner::take(const StartRequest& request, const Places& places)
+{
+    for (const auto node : places)
+        m_nodes[node].free -= request.perTask;
+}
+
+/*! @brief Keeps the executors that a request waits for from the requests behind it. */
+void StartPlanner::reserve(const StartRequest& request)
+{
+    if (m_reservations >= maxReservations)
+        return;
+    // Only tasks that need most of an executor starve behind small ones.
+    const auto needsMost = [&](const NodeRoom& it) { return request.perTask.copiesIn(it.capacity) <= 2; };
+    if (!request.isGang && !std::ranges::any_of(m_nodes, needsMost))
+        return;
+    Scope scope { .withReturning = true };
+    auto places = find(request, scope);
+    if (places.empty()) {
+        scope.whenEmpty = true;
+        places = find(request, scope);
+    }
+    if (places.empty())
+        return;
+    ++m_reservations;
+    for (const auto node : places)
+        m_reserved[node] = true;
+}
+
+/*! @brief Chooses what to stop on one executor so that some tasks fit, with the unsaved work that it costs. */
+std::optional<std::pair<double, std::vector<std::size_t>>> StartPlanner::evictionsOn(
+    const StartRequest& request, std::size_t node, std::int64_t copies) const
+{
+    const auto& it = m_nodes[node];
+    auto room = it.free;
+    room += it.returning;
+    auto runs = it.evictable;
+    std::ranges::stable_sort(runs, {}, &EvictableRun::unsavedCoreSeconds);
+    double cost = 0;
+    std::vector<std::size_t> handles;
+    for (const auto& run : runs) {
+        if (request.perTask.copiesIn(room) >= copies)
+            break;
+        room += run.charged;
+        cost += run.unsavedCoreSeconds;
+        handles.push_back(run.handle);
+    }
+    if (request.perTask.copiesIn(room) < copies)
+        return std::nullopt;
+    return std::pair { cost, std::move(handles) };
+}
+
+bool StartPlanner::evictFor(const StartRequest& request, StartPlan& plan)
+{
+    struct Choice {
+        double cost;
+        std::vector<std::size_t> handles;
+        std::vector<std::size_t> nodes;
+    };
+    const auto choose = [&](const std::string& rack) -> std::optional<Choice> {
+        const Scope scope { .rack = rack, .withSuspects = true, .whenEmpty = true };
+        struct Candidate {
+            double costPerCopy;
+            double cost;
+            std::int64_t copies;
+            std::size_t node;
+            std::vector<std::size_t> handles;
+        };
+        std::vector<Candidate> candidates;
+        for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+            // The largest number of copies that stopping everything allows; fewer may be cheaper.
+            for (auto copies = copiesOn(request, i, scope); copies > 0; --copies) {
+                if (auto found = evictionsOn(request, i, copies)) {
+                    const auto perCopy = found->first / static_cast<double>(copies);
+                    candidates.push_back({ perCopy, found->first, copies, i, std::move(found->second) });
+                }
+            }
+        }
+        std::ranges::stable_sort(candidates, {}, &Candidate::costPerCopy);
+        Choice choice { 0, {}, {} };
+        std::int64_t missing = request.tasks;
+        for (auto& it : candidates) {
+            if (missing <= 0)
+                break;
+            if (std::ranges::find(choice.nodes, it.node) != choice.nodes.end())
+                continue;
+            choice.cost += it.cost;
+            choice.handles.insert(choice.handles.end(), it.handles.begin(), it.handles.end());
+            choice.nodes.push_back(it.node);
+            missing -= it.copies;
+        }
+        if (missing > 0)
+            return std::nullopt;
+        return choice;
+    };
+    std::optional<Choice> best;
+    if (request.isGang && request.prefersOneRack) {
+        for (const auto& rack : racks()) {
+            auto choice = choose(rack);
+            if (choice && (!best || choice->cost < best->cost))
+                best = std::move(choice);
+        }
+    }
+    if (!best)
+        best = choose({});
+    if (!best)
+        return false;
+    evict(best->handles, plan);
+    for (const auto node : best->nodes)
+        m_reserved[node] = true;
+    return true;
+}
+
+void StartPlanner::evict(std::span<const std::size_t> handles, StartPlan& plan)
+{
+    std::set<std::size_t> groups;
+    for (const auto& node : m_nodes) {
+        for (const auto& run : node.evictable) {
+            if (run.group != 0 && std::ranges::find(handles, run.handle) != handles.end())
+                groups.insert(run.group);
+        }
+    }
+    for (auto& node : m_nodes) {
+        std::erase_if(node.evictable, [&](const EvictableRun& run) {
+            const bool chosen = groups.contains(run.group) || std::ranges::find(handles, run.handle) != handles.end();
+            if (chosen) {
+                node.returning += run.charged;
+                plan.evictions.push_back(run.handle);
+            }
+            return chosen;
+        });
+    }
+}
+
+}
--- /dev/null
+++ b/src/lycheespool/dispatch/start_request.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "lycheespool/workload/resource_vector.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace lycheespool {
+
+/*! @brief Tasks of one step that wait for room. */
+struct StartRequest {
+    ResourceVector perTask;
+    std::uint32_t tasks { 1 };
+    /*! @brief Either all tasks start or none. */
+    bool isGang { false };
+    /*! @brief The gang should stay on one rack. */
+    bool prefersOneRack { false };
+    /*! @brief Slower places (another rack) are taken rather than waiting on. */
+    bool acceptsRemote { false };
+    std::string requiredLabel;
+    std::string dataRack;
+    /*! @brief Most tasks on one executor, 0 for no limit. */
+    std::uint32_t maxPerNode { 0 };
+    /*! @brief Tasks of the step that run already, by node. */
+    std::map<std::string, std::uint32_t> tasksOn;
+    /*! @brief Node where the task failed last. */
+    std::string avoidedNode;
+    /*! @brief The work is within its workspace's guarantee, so that other work is stopped for it. */
+    bool mayEvict { false };
+};
+
+/*! @brief Room for some tasks of a request. */
+struct PlannedStart {
+    /*! @brief Position of the request. */
+    std::size_t request { 0 };
+    /*! @brief Position of the node of each task. */
+    std::vector<std::size_t> nodes;
+};
+
+/*! @brief What to start and what to stop. */
+struct StartPlan {
+    std::vector<PlannedStart> starts;
+    /*! @brief Handles of the runs to stop. */
+    std::vector<std::size_t> evictions;
+};
+
+}
--- a/src/lycheespool/platform/executor_service.cpp
+++ b/src/lycheespool/emulator/executor_service.cpp
@@ -1,4 +1,4 @@
-#include "lycheespool/platform/executor_service.h"
+#include "lycheespool/emulator/executor_service.h"
 
 #include "lycheespool/core/error.h"
 #include "lycheespool/core/log.h"
--- a/src/lycheespool/platform/table_service.cpp
+++ b/src/lycheespool/emulator/table_service.cpp
@@ -1,4 +1,4 @@
-#include "lycheespool/platform/table_service.h"
+#include "lycheespool/emulator/table_service.h"
 
 #include "lycheespool/core/error.h"
 #include "lycheespool/core/log.h"
--- a/src/lycheespool/platform/table_service.h
+++ b/src/lycheespool/emulator/table_service.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "lycheespool/emulator/object_store.h"
 #include "lycheespool/net/http_server.h"
-#include "lycheespool/platform/object_store.h"
 #include "lycheespool/store/memory_table.h"
 #include "lycheespool/store/table_faults.h"
 
--- a/src/lycheespool/platform/task_state.cpp
+++ b/src/lycheespool/emulator/task_state.cpp
@@ -1,4 +1,4 @@
-#include "lycheespool/platform/task_state.h"
+#include "lycheespool/emulator/task_state.h"
 
 #include "lycheespool/core/error.h"
 
--- a/src/lycheespool/platform/task_status.h
+++ b/src/lycheespool/emulator/task_status.h
@@ -2,8 +2,8 @@
 
 #include "lycheespool/core/clock.h"
 #include "lycheespool/core/task_key.h"
+#include "lycheespool/emulator/task_state.h"
 #include "lycheespool/placement/resources.h"
-#include "lycheespool/platform/task_state.h"
 
 #include <cstdint>
 #include <string>
--- a/src/lycheespool/platform/worker_api.h
+++ b/src/lycheespool/emulator/worker_api.h
@@ -2,9 +2,9 @@
 
 #include "lycheespool/core/clock.h"
 #include "lycheespool/core/task_key.h"
+#include "lycheespool/emulator/task_start.h"
+#include "lycheespool/emulator/task_status.h"
 #include "lycheespool/net/asio.h"
-#include "lycheespool/platform/task_start.h"
-#include "lycheespool/platform/task_status.h"
 
 #include <concepts>
 #include <cstdint>
--- a/src/lycheespool/platform/worker_client.cpp
+++ b/src/lycheespool/emulator/worker_client.cpp
@@ -1,7 +1,7 @@
-#include "lycheespool/platform/worker_client.h"
+#include "lycheespool/emulator/worker_client.h"
 
 #include "lycheespool/core/error.h"
-#include "lycheespool/platform/worker_codec.h"
+#include "lycheespool/emulator/worker_codec.h"
 
 #include <fmt/format.h>
 
--- a/src/lycheespool/platform/worker_client.h
+++ b/src/lycheespool/emulator/worker_client.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "lycheespool/emulator/worker_api.h"
 #include "lycheespool/net/address.h"
 #include "lycheespool/net/http_client.h"
-#include "lycheespool/platform/worker_api.h"
 
 #include <chrono>
 #include <string>
--- a/src/lycheespool/platform/worker_codec.cpp
+++ b/src/lycheespool/emulator/worker_codec.cpp
@@ -1,4 +1,4 @@
-#include "lycheespool/platform/worker_codec.h"
+#include "lycheespool/emulator/worker_codec.h"
 
 #include "lycheespool/core/error.h"
 
--- a/src/lycheespool/platform/worker_codec.h
+++ b/src/lycheespool/emulator/worker_codec.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "lycheespool/platform/task_start.h"
-#include "lycheespool/platform/worker_api.h"
-#include "lycheespool/platform/worker_faults.h"
+#include "lycheespool/emulator/task_start.h"
+#include "lycheespool/emulator/worker_api.h"
+#include "lycheespool/emulator/worker_faults.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/lycheespool/platform/worker_model.h
+++ b/src/lycheespool/emulator/worker_model.h
@@ -2,10 +2,10 @@
 
 #include "lycheespool/core/clock.h"
 #include "lycheespool/core/task_key.h"
+#include "lycheespool/emulator/task_start.h"
+#include "lycheespool/emulator/task_status.h"
+#include "lycheespool/emulator/worker_faults.h"
 #include "lycheespool/placement/resources.h"
-#include "lycheespool/platform/task_start.h"
-#include "lycheespool/platform/task_status.h"
-#include "lycheespool/platform/worker_faults.h"
 
 #include <chrono>
 #include <cstdint>
--- a/src/lycheespool/platform/worker_service.cpp
+++ b/src/lycheespool/emulator/worker_service.cpp
@@ -1,8 +1,8 @@
-#include "lycheespool/platform/worker_service.h"
+#include "lycheespool/emulator/worker_service.h"
 
 #include "lycheespool/core/error.h"
+#include "lycheespool/emulator/worker_codec.h"
 #include "lycheespool/net/sleep.h"
-#include "lycheespool/platform/worker_codec.h"
 
 #include <charconv>
 #include <mutex>
--- a/src/lycheespool/platform/worker_service.h
+++ b/src/lycheespool/emulator/worker_service.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "lycheespool/core/metrics.h"
+#include "lycheespool/emulator/worker_model.h"
 #include "lycheespool/net/address.h"
 #include "lycheespool/net/http_server.h"
-#include "lycheespool/platform/worker_model.h"
 
 #include <memory>
 
--- /dev/null
+++ b/src/lycheespool/gateway/access.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "lycheespool/cluster/operator_config.h"
+
+#include <string_view>
+
+namespace lycheespool {
+
+/*! @brief Whether a call may use a queue. */
+enum class AccessVerdict : std::uint8_t { allowed, noQueue, unknownKey };
+
+/*! @brief Queue and workspace of a call; the pointers live as long as the config. */
+struct Access {
+    AccessVerdict verdict { AccessVerdict::noQueue };
+    const QueueConfig* queue { nullptr };
+    /*! @brief Null for an anonymous call. */
+    const WorkspaceConfig* workspace { nullptr };
+};
+
+/**
+ * @brief Finds the queue of a call and checks its key.
+ * @param config The config.
+ * @param host Host without port.
+ * @param path Path of the call.
+ * @param key Key of the caller, empty for none.
+ * @return The verdict.
+ */
+[[nodiscard]] inline Access checkAccess(
+    const OperatorConfig& config, std::string_view host, std::string_view path, std::string_view key)
+{
+    Access access;
+    access.queue = config.route(host, path);
+    if (!access.queue)
+        return access;
+    access.workspace = key.empty() ? nullptr : config.workspaceOfKey(key);
+    const bool isAllowed = access.workspace || access.queue->allowsAnonymous;
+    access.verdict = isAllowed ? AccessVerdict::allowed : AccessVerdict::unknownKey;
+    return access;
+}
+
+}
--- /dev/null
+++ b/src/lycheespool/gateway/fwd.h
@@ -0,0 +1,9 @@
+#pragma once
+
+namespace lycheespool {
+
+class JobDirectory;
+
+struct JobSummary;
+
+}
--- /dev/null
+++ b/src/lycheespool/gateway/job_directory.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include "lycheespool/workload/job_progress.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace lycheespool {
+
+/*! @brief State of a job as an entry knows it. */
+struct JobSummary {
+    WorkloadState state { WorkloadState::pending };
+    std::string queue;
+    std::uint64_t version { 0 };
+};
+
+/*! @brief States of all jobs in the memory of an entry, fed by the progress rows. */
+class JobDirectory {
+public:
+    /**
+     * @brief Takes a progress row in; an older version than the known one is ignored.
+     * @param id Name of the job.
+     * @param bytes The row.
+     * @param version Version of the row.
+     * @throws Error of kind malformedFrame when the row is not readable.
+     */
+    void update(const std::string& id, std::string_view bytes, std::uint64_t version)
+    {
+        const auto head = JobProgress::decodeHead(bytes);
+        insert(id, static_cast<WorkloadState>(head.state), head.queue, version);
+    }
+
+    /**
+     * @brief Records a job of a known state.
+     * @param id Name of the job.
+     * @param state Its state.
+     * @param queue Its queue.
+     * @param version Version of the row.
+     */
+    void insert(const std::string& id, WorkloadState state, const std::string& queue, std::uint64_t version)
+    {
+        auto& job = m_jobs[id];
+        if (version < job.version)
+            return;
+        if (job.version > 0 && job.state == WorkloadState::pending)
+            --m_pending[job.queue];
+        job = { state, queue, version };
+        if (state == WorkloadState::pending)
+            ++m_pending[queue];
+    }
+
+    /**
+     * @brief Forgets a job whose row was removed.
+     * @param id Name of the job.
+     */
+    void remove(const std::string& id)
+    {
+        const auto it = m_jobs.find(id);
+        if (it == m_jobs.end())
+            return;
+        if (it->second.state == WorkloadState::pending)
+            --m_pending[it->second.queue];
+        m_jobs.erase(it);
+    }
+
+    /*! @brief Forgets everything. */
+    void clear()
+    {
+        m_jobs.clear();
+        m_pending.clear();
+    }
+
+    /**
+     * @brief Finds a job.
+     * @param id Name of the job.
+     * @return The job, or nothing.
+     */
+    [[nodiscard]] std::optional<JobSummary> find(const std::string& id) const
+    {
+        const auto it = m_jobs.find(id);
+        return it == m_jobs.end() ? std::nullopt : std::optional { it->second };
+    }
+
+    /**
+     * @brief Counts the jobs of a queue that have not begun.
+     * @param queue Name of the queue.
+     * @return Number of jobs.
+     */
+    [[nodiscard]] std::int64_t pendingIn(const std::string& queue) const
+    {
+        const auto it = m_pending.find(queue);
+        return it == m_pending.end() ? 0 : it->second;
+    }
+
+    /*! @brief Number of jobs. */
+    [[nodiscard]] std::size_t size() const { return m_jobs.size(); }
+
+private:
+    std::map<std::string, JobSummary> m_jobs;
+    std::map<std::string, std::int64_t> m_pending;
+};
+
+}
--- /dev/null
+++ b/src/lycheespool/nodeagent/fwd.h
@@ -0,0 +1,10 @@
+#pragma once
+
+namespace lycheespool {
+
+struct ExecutorAnnouncement;
+struct ExecutorAnswer;
+struct HoldRequest;
+struct RunStart;
+
+}
--- /dev/null
+++ b/src/lycheespool/nodeagent/leader_finder.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "lycheespool/cluster/row_names.h"
+#include "lycheespool/controller/lease_row.h"
+#include "lycheespool/core/error.h"
+#include "lycheespool/core/event_log.h"
+#include "lycheespool/net/address.h"
+#include "lycheespool/store/row_store.h"
+#include "lycheespool/workload/job_progress.h"
+
+#include <nlohmann/json.hpp>
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace lycheespool {
+
+/**
+ * @brief Finds the address of the leader: from the lease row, or by trying the seeds while the store is out of reach.
+ * @tparam Store Model of RowStore.
+ */
+template <RowStore Store>
+class LeaderFinder {
+public:
+    /*! @brief Longest time for an answer of the store. */
+    static constexpr Duration answerTimeout = std::chrono::milliseconds { 600 };
+
+    /**
+     * @brief Makes a finder.
+     * @param store The store; must outlive the finder.
+     * @param names Names of the rows.
+     * @param seeds Addresses of some entries; may be stale.
+     */
+    LeaderFinder(Store& store, RowNames names, std::vector<Address> seeds)
+        : m_store { store }
+        , m_names { std::move(names) }
+        , m_seeds { std::move(seeds) }
+    {
+    }
+
+    /**
+     * @brief Looks for the leader.
+     * @return An address worth trying, or nothing.
+     */
+    [[nodiscard]] Awaitable<std::optional<Address>> find()
+    {
+        RowRange range { std::string { RowNames::controlTable }, m_names.partition, {}, {} };
+        try {
+            const auto list = co_await m_store.list(std::move(range), answerTimeout);
+            if (std::exchange(m_isDown, false))
+                logEvent("lease_readable_again", { { "store_version", list.version } });
+            for (const auto& it : list.rows) {
+                if (it.name != m_names.lease())
+                    continue;
+                const auto row = unpackValue<LeaseRow>(it.value);
+                if (!row.holder.empty())
+                    m_known = parseAddress(row.address);
+                co_return row.holder.empty() ? std::nullopt : m_known;
+            }
+            co_return std::nullopt;
+        } catch (const Error& error) {
+            if (!std::exchange(m_isDown, true))
+                logEvent("lease_unreadable", { { "reason", error.what() } });
+        }
+        co_return nextSeed();
+    }
+
+private:
+    [[nodiscard]] std::optional<Address> nextSeed()
+    {
+        const auto count = m_seeds.size() + (m_known ? 1 : 0);
+        if (count == 0)
+            return std::nullopt;
+        const auto position = m_next++ % count;
+        return position < m_seeds.size() ? m_seeds[position] : *m_known;
+    }
+
+    Store& m_store;
+    RowNames m_names;
+    std::vector<Address> m_seeds;
+    std::optional<Address> m_known;
+    std::size_t m_next { 0 };
+    bool m_isDown { false };
+};
+
+}
--- /dev/null
+++ b/src/lycheespool/nodeagent/node_agent.h
@@ -0,0 +1,471 @@
+#pragma once
+
+#include "lycheespool/cluster/node_settings.h"
+#include "lycheespool/core/boot_clock.h"
+#include "lycheespool/core/error.h"
+#include "lycheespool/core/event_log.h"
+#include "lycheespool/core/metrics.h"
+#include "lycheespool/net/connect.h"
+#include "lycheespool/net/rpc_connection.h"
+#include "lycheespool/net/sleep.h"
+#include "lycheespool/net/wake_up.h"
+#include "lycheespool/net/when_all.h"
+#include "lycheespool/nodeagent/executor_control.h"
+#include "lycheespool/nodeagent/leader_finder.h"
+#include "lycheespool/nodeagent/lease_clock.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace lycheespool {
+
+/**
+ * @brief Runs beside an executor: reports it to the leader, carries out orders and extends its lease.
+ *
+ * Lives on one thread. Decides nothing about placement; refuses starts that are too old.
+ *
+ * @tparam Store Model of RowStore.
+ * @tparam Control Model of ExecutorControl.
+ */
+template <RowStore Store, ExecutorControl Control>
+class NodeAgent : public std::enable_shared_from_this<NodeAgent<Store, Control>> {
+public:
+    /*! @brief Time between two reports without an event. */
+    static constexpr Duration reportInterval = std::chrono::milliseconds { 800 };
+    /*! @brief Longest time for the leader's answer to a report. */
+    static constexpr Duration reportTimeout = std::chrono::milliseconds { 1200 };
+    /*! @brief Pause between two attempts to find the leader. */
+    static constexpr Duration findPause = std::chrono::milliseconds { 200 };
+    /*! @brief Longest wait for an end in one call to the executor. */
+    static constexpr Duration holdWait = std::chrono::milliseconds { 900 };
+    /*! @brief Longest time for an executor's answer beyond the wait. */
+    static constexpr Duration executorTimeout = std::chrono::milliseconds { 700 };
+    /*! @brief Pause after an executor's failure, or while its ends are not acknowledged. */
+    static constexpr Duration holdPause = std::chrono::milliseconds { 200 };
+    /*! @brief Oldest decision that starts a run; cancellations and drains apply within 2 to 3 seconds. */
+    static constexpr Duration decisionAge = std::chrono::milliseconds { 2500 };
+    /*! @brief Longest time for the attempts to carry out one order. */
+    static constexpr Duration orderTime = std::chrono::milliseconds { 1500 };
+    /*! @brief Pause before a call is sent again that the executor turned away unharmed. */
+    static constexpr Duration orderPause = std::chrono::milliseconds { 100 };
+
+    /**
+     * @brief Makes an agent.
+     * @param executor Executor of the thread.
+     * @param settings Settings of the process.
+     * @param store The store; must outlive the agent.
+     * @param control Calls to the executor; must outlive the agent.
+     * @param names Names of the rows.
+     * @param metrics Registry for counters.
+     */
+    NodeAgent(const asio::any_io_executor& executor, const NodeSettings& settings, Store& store, Control& control,
+        RowNames names, Metrics& metrics)
+        : m_executor { executor }
+        , m_settings { settings }
+        , m_control { control }
+        , m_metrics { metrics }
+        , m_finder { store, std::move(names), settings.seeds }
+        , m_reportDue { executor }
+        , m_holdDue { executor }
+        , m_leaseClock { settings.bounds.maxLease }
+        , m_startMs { metrics.distribution("executor_start_ms") }
+        , m_ordersStarted { metrics.counter("orders_started_total") }
+        , m_ordersStopped { metrics.counter("orders_stopped_total") }
+        , m_ordersUnresolved { metrics.counter("orders_unresolved_total") }
+        , m_reports { metrics.counter("reports_sent_total") }
+        , m_reportFailures { metrics.counter("reports_failed_total") }
+    {
+    }
+
+    /*! @brief Starts the loops. */
+    void start()
+    {
+        spawn(&NodeAgent::linkLoop);
+        spawn(&NodeAgent::holdLoop);
+    }
+
+    /**
+     * @brief Takes an announcement of the executor in.
+     * @param announcement The announcement.
+     */
+    void onAnnouncement(const ExecutorAnnouncement& announcement)
+    {
+        auto& known = m_executorState;
+        const bool isOld = announcement.lifetime.bornUnixMs < known.lifetime.bornUnixMs
+            || (announcement.lifetime == known.lifetime && announcement.sequence <= known.sequence);
+        if (isOld) {
+            logEvent("announcement_outdated",
+                { { "executor", announcement.lifetime.executor }, { "sequence", announcement.sequence } });
+            return;
+        }
+        const bool isNew = announcement.lifetime != known.lifetime;
+        const bool isChanged = isNew || announcement.state != known.state;
+        known = announcement;
+        if (isNew)
+            forgetLists();
+        if (isChanged) {
+            logEvent("executor_announced",
+                { { "executor", known.lifetime.executor }, { "born", known.lifetime.bornUnixMs },
+                    { "state", static_cast<int>(known.state) }, { "new_lifetime", isNew } });
+            m_holdDue.wake();
+            m_reportDue.wake();
+        }
+    }
+
+    /**
+     * @brief Records that the executor leaves at once.
+     * @param executor Id of the executor.
+     */
+    void onDeparture(const std::string& executor)
+    {
+        if (executor != m_executorState.lifetime.executor)
+            return;
+        m_executorState.state = ExecutorState::departed;
+        logEvent("executor_departed", { { "executor", executor } });
+        m_reportDue.wake();
+    }
+
+private:
+    void spawn(Awaitable<> (NodeAgent::*loop)())
+    {
+        const auto self = this->shared_from_this();
+        asio::co_spawn(
+            m_executor, [self, loop]() -> Awaitable<> { co_await ((*self).*loop)(); }, asio::detached);
+    }
+
+    [[nodiscard]] static std::uint64_t clockMs(TimePoint now)
+    {
+        // Starts above zero, since zero stands for no time in reports.
+        return static_cast<std::uint64_t>(
+                   std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count())
+            + 1;
+    }
+
+    void forgetLists()
+    {
+        m_leaseClock.reset();
+        m_running.clear();
+        m_ended.clear();
+        m_listedAtMs = 0;
+        m_endsStored = 0;
+        m_newestEnd = 0;
+    }
+
+    // Link to the leader.
+
+    [[nodiscard]] Awaitable<> linkLoop()
+    {
+        while (true) {
+            const auto address = co_await m_finder.find();
+            if (address)
+                co_await serveLeader(*address);
+            co_await sleepFor(findPause);
+        }
+    }
+
+    [[nodiscard]] Awaitable<> serveLeader(Address address)
+    {
+        auto socket = co_await connectTo(address, reportTimeout);
+        if (!socket)
+            co_return;
+        const auto connection = std::make_shared<RpcConnection>(std::move(*socket), m_metrics);
+        const auto self = this->shared_from_this();
+        asio::co_spawn(
+            m_executor,
+            [self, connection]() -> Awaitable<> {
+                RpcConnection::Handler handler
+                    = [self](const auto& source, Envelope envelope) { self->onMessage(source, std::move(envelope)); };
+                co_await connection->run(std::move(handler));
+                self->m_reportDue.wake();
+            },
+            asio::detached);
+        bool isKnown = false;
+        unsigned passiveReports = 0;
+        while (connection->isOpen()) {
+            const auto reply = co_await report(connection);
+            if (!reply || !reply->leads)
+                break;
+            if (!std::exchange(isKnown, true))
+                logEvent("leader_found", { { "address", address.toString() }, { "epoch", reply->epoch.value() } });
+            // A leader that has lost the store may have a successor, which the lease row names.
+            passiveReports = reply->active ? 0 : passiveReports + 1;
+            if (passiveReports >= 2) {
+                const auto other = co_await m_finder.find();
+                if (other && *other != address)
+                    break;
+            }
+            co_await m_reportDue.wait(reportInterval);
+        }
+        connection->close();
+        if (isKnown)
+            logEvent("leader_lost", { { "address", address.toString() }, { "epoch", m_epoch.value() } });
+    }
+
+    [[nodiscard]] Awaitable<std::optional<NodeReportReply>> report(std::shared_ptr<RpcConnection> connection)
+    {
+        const auto sent = BootClock {}.now();
+        NodeReport report;
+        report.node = m_settings.node;
+        report.zone = m_executorState.zone.empty() ? m_settings.zone : m_executorState.zone;
+        report.state = m_executorState.lifetime.isKnown() ? m_executorState.state : ExecutorState::absent;
+        report.lifetime = m_executorState.lifetime;
+        report.service = m_executorState.service;
+        report.labels = m_executorState.labels;
+        report.capacity = m_executorState.capacity;
+        report.remainingMs = m_executorState.remainingMs;
+        report.sentAtMs = clockMs(sent);
+        report.listedAtMs = m_listedAtMs;
+        report.running = m_running;
+        report.ended = m_ended;
+        const auto lifetime = report.lifetime;
+        m_reports.add();
+        std::optional<NodeReportReply> reply;
+        try {
+            reply = co_await connection->call<NodeReportReply>(std::move(report), reportTimeout);
+        } catch (const Error& error) {
+            m_reportFailures.add();
+            logEvent("report_unanswered", { { "reason", error.what() } });
+            co_return std::nullopt;
+        }
+        if (!reply->leads || reply->epoch < m_epoch)
+            co_return reply->leads ? std::nullopt : reply;
+        m_epoch = reply->epoch;
+        m_leaseClock.permit(sent, std::chrono::milliseconds { reply->permitMs });
+        if (lifetime == m_executorState.lifetime)
+            acknowledge(reply->endsStored);
+        co_return reply;
+    }
+
+    void acknowledge(std::uint64_t endsStored)
+    {
+        if (endsStored <= m_endsStored)
+            return;
+        m_endsStored = endsStored;
+        std::erase_if(m_ended, [&](const auto& it) { return it.number <= endsStored; });
+        m_holdDue.wake();
+    }
+
+    // Lease and lists of the executor.
+
+    [[nodiscard]] Awaitable<> holdLoop()
+    {
+        while (true) {
+            if (!m_executorState.lifetime.isKnown() || m_executorState.state == ExecutorState::departed) {
+                co_await m_holdDue.wait(reportInterval);
+                continue;
+            }
+            const bool answered = co_await hold();
+            if (!answered || !m_ended.empty())
+                co_await m_holdDue.wait(holdPause);
+        }
+    }
+
+    [[nodiscard]] Awaitable<bool> hold()
+    {
+        const auto sent = BootClock {}.now();
+        const auto wait = m_leaseClock.hasSample() && m_ended.empty()
+            ? std::min<Duration>(holdWait, m_settings.bounds.maxLease / 4)
+            : Duration {};
+        HoldRequest request;
+        request.lifetime = m_executorState.lifetime;
+        request.epoch = m_epoch.value();
+        request.endsSeen = m_endsStored;
+        request.leaseEndMs = m_leaseClock.leaseEndMs(sent);
+        request.waitMs = std::chrono::duration_cast<std::chrono::milliseconds>(wait).count();
+        const auto lifetime = request.lifetime;
+        auto answer = co_await m_control.hold(std::move(request), wait + executorTimeout);
+        if (lifetime != m_executorState.lifetime)
+            co_return true;
+        const auto& head = answer.answer;
+        const bool isOther = head.kind == ExecutorAnswerKind::wrongLifetime
+            || (head.bornUnixMs && *head.bornUnixMs != lifetime.bornUnixMs);
+        if (head.kind != ExecutorAnswerKind::accepted || isOther) {
+            if (!std::exchange(m_isExecutorSilent, true))
+                logEvent("executor_unreachable",
+                    { { "executor", lifetime.executor }, { "kind", static_cast<int>(head.kind) },
+                        { "reason", head.reason } });
+            co_return false;
+        }
+        if (std::exchange(m_isExecutorSilent, false))
+            logEvent("executor_reachable_again", { { "executor", lifetime.executor } });
+        if (head.clockMs)
+            m_leaseClock.sample(*head.clockMs, BootClock {}.now());
+        m_running = std::move(answer.running);
+        m_ended = std::move(answer.ended);
+        std::erase_if(m_ended, [&](const auto& it) { return it.number <= m_endsStored; });
+        m_listedAtMs = clockMs(sent);
+        if (!m_ended.empty() && m_ended.back().number > m_newestEnd)
+            m_reportDue.wake();
+        m_newestEnd = m_ended.empty() ? m_newestEnd : m_ended.back().number;
+        co_return true;
+    }
+
+    // Orders of the leader.
+
+    void onMessage(const std::shared_ptr<RpcConnection>& source, Envelope envelope)
+    {
+        if (envelope.type != MessageType::nodeOrders)
+            return;
+        const auto correlation = envelope.correlation;
+        const auto self = this->shared_from_this();
+        asio::co_spawn(
+            m_executor,
+            [self, source, correlation, orders = envelope.as<NodeOrders>()]() -> Awaitable<> {
+                auto reply = co_await self->carryOut(orders);
+                source->send(reply, correlation);
+            },
+            asio::detached);
+    }
+
+    [[nodiscard]] Awaitable<NodeOrdersReply> carryOut(NodeOrders orders)
+    {
+        NodeOrdersReply reply;
+        if (orders.epoch < m_epoch) {
+            logEvent("orders_of_old_epoch", { { "epoch", orders.epoch.value() }, { "known_epoch", m_epoch.value() } });
+            co_return reply;
+        }
+        m_epoch = orders.epoch;
+        if (orders.lifetime == m_executorState.lifetime)
+            acknowledge(orders.endsStored);
+        std::vector<Awaitable<RunOrderOutcome>> operations;
+        for (const auto& it : orders.orders)
+            operations.push_back(carryOutOne(it, orders));
+        auto settled = co_await whenAll(std::move(operations));
+        for (auto& it : settled) {
+            if (!it.error)
+                reply.outcomes.push_back(std::move(it.value));
+        }
+        m_holdDue.wake();
+        co_return reply;
+    }
+
+    [[nodiscard]] Awaitable<RunOrderOutcome> carryOutOne(RunOrder order, NodeOrders batch)
+    {
+        RunOrderOutcome outcome;
+        if (batch.lifetime != m_executorState.lifetime)
+            outcome.result = RunOrderResult::wrongLifetime;
+        else if (order.isStart)
+            outcome = co_await startRun(order, batch);
+        else
+            outcome = co_await stopRun(order, batch, "ordered");
+        outcome.task = order.task;
+        outcome.run = order.run;
+        outcome.answeredAtMs = clockMs(BootClock {}.now());
+        countOutcome(outcome);
+        logEvent("order_carried_out",
+            { { "task", order.task }, { "run", order.run }, { "start", order.isStart },
+                { "result", static_cast<int>(outcome.result) }, { "reason", outcome.reason },
+                { "epoch", batch.epoch.value() }, { "executor", batch.lifetime.executor },
+                { "decision_age_ms", clockMs(BootClock {}.now()) - batch.basedOnMs } });
+        co_return outcome;
+    }
+
+    void countOutcome(const RunOrderOutcome& outcome)
+    {
+        switch (outcome.result) {
+        case RunOrderResult::started:
+            m_ordersStarted.add();
+            break;
+        case RunOrderResult::stopped:
+            m_ordersStopped.add();
+            break;
+        default:
+            m_ordersUnresolved.add();
+        }
+    }
+
+    /*! @brief Tells why a start must not be sent, or gives an empty text. */
+    [[nodiscard]] std::string startObstacle(const NodeOrders& batch, TimePoint now) const
+    {
+        if (batch.lifetime != m_executorState.lifetime)
+            return "lifetime";
+        if (batch.epoch < m_epoch)
+            return "epoch";
+        if (m_executorState.state != ExecutorState::ready)
+            return "draining";
+        const auto age = std::chrono::milliseconds { clockMs(now) - batch.basedOnMs };
+        if (age > decisionAge || !m_leaseClock.isPermitted(now))
+            return "expired";
+        return {};
+    }
+
+    [[nodiscard]] Awaitable<RunOrderOutcome> startRun(RunOrder order, NodeOrders batch)
+    {
+        const auto begun = BootClock {}.now();
+        auto now = begun;
+        std::string obstacle = startObstacle(batch, now);
+        while (obstacle.empty() && now - begun < orderTime) {
+            RunStart start { batch.lifetime, batch.epoch.value(), order.task, order.run, order.payload,
+                order.checkpoint, m_leaseClock.leaseEndMs(now).value_or(0) };
+            const auto answer = co_await m_control.start(std::move(start), executorTimeout);
+            now = BootClock {}.now();
+            if (answer.clockMs && batch.lifetime == m_executorState.lifetime)
+                m_leaseClock.sample(*answer.clockMs, now);
+            if (answer.kind == ExecutorAnswerKind::accepted) {
+                m_startMs.record(std::chrono::duration<double, std::milli> { now - begun }.count());
+                co_return RunOrderOutcome { {}, 0, RunOrderResult::started, {}, 0 };
+            }
+            if (answer.kind == ExecutorAnswerKind::wrongLifetime)
+                co_return RunOrderOutcome { {}, 0, RunOrderResult::wrongLifetime, {}, 0 };
+            if (answer.kind == ExecutorAnswerKind::refused) {
+                obstacle = "refused: " + answer.reason;
+                break;
+            }
+            if (answer.kind == ExecutorAnswerKind::unavailable)
+                co_await sleepFor(orderPause);
+            obstacle = startObstacle(batch, now);
+        }
+        if (obstacle.empty())
+            obstacle = "no answer";
+        // An unanswered start may still be carried out; a stop of the same run rules that out.
+        co_return co_await stopRun(order, batch, obstacle);
+    }
+
+    [[nodiscard]] Awaitable<RunOrderOutcome> stopRun(RunOrder order, NodeOrders batch, std::string reason)
+    {
+        const auto begun = BootClock {}.now();
+        while (BootClock {}.now() - begun < orderTime) {
+            RunStop stop { batch.lifetime, batch.epoch.value(), order.task, order.run };
+            const auto answer = co_await m_control.stop(std::move(stop), executorTimeout);
+            if (answer.kind == ExecutorAnswerKind::accepted)
+                co_return RunOrderOutcome { {}, 0, RunOrderResult::stopped, reason, 0 };
+            if (answer.kind == ExecutorAnswerKind::wrongLifetime)
+                co_return RunOrderOutcome { {}, 0, RunOrderResult::wrongLifetime, reason, 0 };
+            if (answer.kind == ExecutorAnswerKind::refused)
+                co_return RunOrderOutcome { {}, 0, RunOrderResult::unresolved, answer.reason, 0 };
+            co_await sleepFor(orderPause);
+        }
+        co_return RunOrderOutcome { {}, 0, RunOrderResult::unresolved, reason, 0 };
+    }
+
+    asio::any_io_executor m_executor;
+    NodeSettings m_settings;
+    Control& m_control;
+    Metrics& m_metrics;
+    LeaderFinder<Store> m_finder;
+    WakeUp m_reportDue;
+    WakeUp m_holdDue;
+    LeaseClock m_leaseClock;
+    ExecutorAnnouncement m_executorState;
+    Epoch m_epoch;
+    std::vector<RunningTask> m_running;
+    std::vector<RunEnd> m_ended;
+    std::uint64_t m_listedAtMs { 0 };
+    std::uint64_t m_endsStored { 0 };
+    std::uint64_t m_newestEnd { 0 };
+    bool m_isExecutorSilent { false };
+    Distribution& m_startMs;
+    Counter& m_ordersStarted;
+    Counter& m_ordersStopped;
+    Counter& m_ordersUnresolved;
+    Counter& m_reports;
+    Counter& m_reportFailures;
+};
+
+}
--- a/src/lycheespool/scheduler/lease_keeper.h
+++ b/src/lycheespool/scheduler/lease_keeper.h
@@ -51,7 +51,7 @@
     [[nodiscard]] Awaitable<LeaseEvent> step()
     {
         const auto now = m_clock.now();
-        if (m_lastStep && !m_uncertain && now - *m_lastStep < LeaderLease::renewInterval)
+        if (m_lastStep && !m_uncertain && now - *m_lastStep < LeaderLeaseTimes {}.renewInterval)
             co_return LeaseEvent::none;
         m_lastStep = now;
         if (isHeld() && !m_uncertain)
--- a/src/lycheespool/store/leader_lease.h
+++ b/src/lycheespool/store/leader_lease.h
@@ -9,6 +9,20 @@
 
 namespace lycheespool {
 
+/*! @brief Time constants of a leader lease. */
+struct LeaderLeaseTimes {
+    /*! @brief Time between two renewals. */
+    Duration renewInterval { std::chrono::seconds { 1 } };
+    /*! @brief The holder may act this long after it sent its last successful renewal. */
+    Duration holderTerm { std::chrono::seconds { 3 } };
+    /**
+     * @brief A candidate takes over when it saw the row unchanged this long.
+     *
+     * Exceeds holderTerm by more than a clock drift of 1% on both sides, so two holders never act at once.
+     */
+    Duration takeoverDelay { std::chrono::seconds { 5 } };
+};
+
 /**
  * @brief Judges a leader lease in a table row by the monotonic clock of this process.
  *
@@ -16,16 +30,22 @@
  */
 class LeaderLease {
 public:
-    /*! @brief Time between two renewals. */
-    static constexpr Duration renewInterval = std::chrono::seconds { 1 };
-    /*! @brief The holder may act this long after it sent its last successful renewal. */
-    static constexpr Duration holderTerm = std::chrono::seconds { 3 };
+    LeaderLease() = default;
+
     /**
-     * @brief A candidate takes over when it saw the row unchanged this long.
-     *
-     * Exceeds holderTerm by more than a clock drift of 1% on both sides, so two holders never act at once.
+     * @brief Makes a lease with other times.
+     * @param times The times; takeoverDelay must exceed holderTerm by more than the clock drift.
+     */
+    explicit LeaderLease(const LeaderLeaseTimes& times)
+        : m_times { times }
+    {
+    }
+
+    /**
+     * @brief Gives the times of the lease.
+     * @return The times.
      */
-    static constexpr Duration takeoverDelay = std::chrono::seconds { 5 };
+    [[nodiscard]] const LeaderLeaseTimes& times() const { return m_times; }
 
     /**
      * @brief Records a successful read of the row.
@@ -46,7 +66,7 @@
      */
     [[nodiscard]] bool mayTakeOver(TimePoint now) const
     {
-        return m_observed && (m_observed->version == 0 || now - m_observed->since >= takeoverDelay);
+        return m_observed && (m_observed->version == 0 || now - m_observed->since >= m_times.takeoverDelay);
     }
 
     /**
@@ -58,7 +78,7 @@
     void held(Epoch epoch, std::uint64_t version, TimePoint sent)
     {
         m_epoch = epoch;
-        m_validUntil = sent + holderTerm;
+        m_validUntil = sent + m_times.holderTerm;
         m_observed = Observation { version, sent };
     }
 
@@ -96,6 +116,7 @@
         TimePoint since;
     };
 
+    LeaderLeaseTimes m_times;
     std::optional<Observation> m_observed;
     std::optional<TimePoint> m_validUntil;
     Epoch m_epoch;
--- a/src/lycheespool/wire/message_type.h
+++ b/src/lycheespool/wire/message_type.h
@@ -16,6 +16,10 @@
     goodbyeReply = 11,
     inquire = 12,
     inquireReply = 13,
+    nodeReport = 14,
+    nodeReportReply = 15,
+    nodeOrders = 16,
+    nodeOrdersReply = 17,
 };
 
 /**
--- /dev/null
+++ b/src/lycheespool/wire/node_messages.h
@@ -0,0 +1,156 @@
+#pragma once
+
+#include "lycheespool/core/ids.h"
+#include "lycheespool/wire/adaptors.h"
+#include "lycheespool/wire/message_type.h"
+#include "lycheespool/workload/lifetime.h"
+#include "lycheespool/workload/resource_vector.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace lycheespool {
+
+/*! @brief Whether an executor takes new tasks. */
+enum class ExecutorState : std::uint8_t {
+    /*! @brief No executor has announced itself to the agent. */
+    absent,
+    ready,
+    /*! @brief The executor leaves; what runs on it ends with it. */
+    draining,
+    /*! @brief The executor said goodbye. */
+    departed,
+};
+
+/*! @brief One task that an executor runs. */
+struct RunningTask {
+    std::string task;
+    std::uint64_t run { 0 };
+    std::string checkpoint;
+    /*! @brief Share of the work that is done, 0 to 100. */
+    std::uint32_t percent { 0 };
+    MSGPACK_DEFINE(task, run, checkpoint, percent)
+};
+
+/*! @brief How a run of a task ended. */
+enum class RunEndKind : std::uint8_t {
+    done,
+    failed,
+    stopped,
+    /*! @brief The executor's lease ran out. */
+    lapsed,
+    /*! @brief Another member of the gang ended. */
+    broken,
+    /*! @brief The other members of the gang did not start in time. */
+    alone,
+};
+
+/*! @brief The end of a run, as the executor lists it until it is acknowledged. */
+struct RunEnd {
+    /*! @brief Position in the executor's list; starts at 1 in each lifetime. */
+    std::uint64_t number { 0 };
+    std::string task;
+    std::uint64_t run { 0 };
+    RunEndKind kind { RunEndKind::failed };
+    std::string checkpoint;
+    MSGPACK_DEFINE(number, task, run, kind, checkpoint)
+};
+
+/*! @brief Report of a node's agent to the leader. */
+struct NodeReport {
+    static constexpr auto type = MessageType::nodeReport;
+
+    std::string node;
+    std::string zone;
+    ExecutorState state { ExecutorState::absent };
+    Lifetime lifetime;
+    std::string service;
+    std::vector<std::string> labels;
+    ResourceVector capacity;
+    /*! @brief While draining: least time that the executor stays, ms. */
+    std::uint64_t remainingMs { 0 };
+    /*! @brief Agent's clock when the report was sent, ms. */
+    std::uint64_t sentAtMs { 0 };
+    /*! @brief Agent's clock when it asked the executor for the lists below, ms; 0 when there are none. */
+    std::uint64_t listedAtMs { 0 };
+    std::vector<RunningTask> running;
+    std::vector<RunEnd> ended;
+    MSGPACK_DEFINE(
+        node, zone, state, lifetime, service, labels, capacity, remainingMs, sentAtMs, listedAtMs, running, ended)
+};
+
+/*! @brief Answer to NodeReport. */
+struct NodeReportReply {
+    static constexpr auto type = MessageType::nodeReportReply;
+
+    /*! @brief False when the receiver does not lead; the agent looks for the leader. */
+    bool leads { false };
+    /*! @brief False while the leader cannot reach the store; another entry may lead by now. */
+    bool active { false };
+    Epoch epoch;
+    /*! @brief The agent may extend the executor's lease until this long after it sent the report, ms. */
+    std::uint64_t permitMs { 0 };
+    /*! @brief Ends up to this number are stored and may be acknowledged to the executor. */
+    std::uint64_t endsStored { 0 };
+    MSGPACK_DEFINE(leads, active, epoch, permitMs, endsStored)
+};
+
+/*! @brief Starts or stops one run. */
+struct RunOrder {
+    bool isStart { true };
+    std::string task;
+    std::uint64_t run { 0 };
+    std::string payload;
+    std::string checkpoint;
+    MSGPACK_DEFINE(isStart, task, run, payload, checkpoint)
+};
+
+/*! @brief Orders of the leader to one agent. */
+struct NodeOrders {
+    static constexpr auto type = MessageType::nodeOrders;
+
+    Epoch epoch;
+    Lifetime lifetime;
+    /*! @brief `sentAtMs` of the newest report that the leader knew; bounds the age of the decision. */
+    std::uint64_t basedOnMs { 0 };
+    std::uint64_t endsStored { 0 };
+    std::vector<RunOrder> orders;
+    MSGPACK_DEFINE(epoch, lifetime, basedOnMs, endsStored, orders)
+};
+
+/*! @brief What became of an order. */
+enum class RunOrderResult : std::uint8_t {
+    started,
+    /*! @brief The run was stopped, or can never start any more. */
+    stopped,
+    /*! @brief The executor did not answer; the order may still be carried out. */
+    unresolved,
+    /*! @brief The order names another lifetime than the present one. */
+    wrongLifetime,
+};
+
+/*! @brief Outcome of one order. */
+struct RunOrderOutcome {
+    std::string task;
+    std::uint64_t run { 0 };
+    RunOrderResult result { RunOrderResult::unresolved };
+    std::string reason;
+    /*! @brief Agent's clock after the executor's answer, ms. */
+    std::uint64_t answeredAtMs { 0 };
+    MSGPACK_DEFINE(task, run, result, reason, answeredAtMs)
+};
+
+/*! @brief Answer to NodeOrders. */
+struct NodeOrdersReply {
+    static constexpr auto type = MessageType::nodeOrdersReply;
+
+    std::vector<RunOrderOutcome> outcomes;
+    MSGPACK_DEFINE(outcomes)
+};
+
+}
+
+MSGPACK_ADD_ENUM(lycheespool::ExecutorState);
+MSGPACK_ADD_ENUM(lycheespool::RunEndKind);
+MSGPACK_ADD_ENUM(lycheespool::RunOrderResult);
--- /dev/null
+++ b/src/lycheespool/workload/fwd.h
@@ -0,0 +1,12 @@
+#pragma once
+
+namespace lycheespool {
+
+struct JobRequest;
+struct JobRow;
+struct ResourceVector;
+struct StepSpec;
+
+class JobProgress;
+
+}
--- /dev/null
+++ b/src/lycheespool/workload/job_progress.h
@@ -0,0 +1,185 @@
+#pragma once
+
+#include "lycheespool/workload/job_request.h"
+#include "lycheespool/workload/lifetime.h"
+#include "lycheespool/workload/task_name.h"
+
+#include <cstdint>
+#include <msgpack.hpp>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace lycheespool {
+
+/*! @brief State of a job as clients see it. */
+enum class WorkloadState : std::uint8_t { pending, running, completed, failed, cancelled };
+
+/**
+ * @brief Tells whether a job has ended.
+ * @param state The state.
+ * @return True for completed, failed and cancelled.
+ */
+[[nodiscard]] constexpr bool isEnded(WorkloadState state) { return state >= WorkloadState::completed; }
+
+/*! @brief A run of a task that was ordered and is not known to have ended. */
+struct RunPlacement {
+    Lifetime lifetime;
+    /*! @brief Node whose agent carries the orders for the executor. */
+    std::string node;
+    std::uint64_t run { 0 };
+    MSGPACK_DEFINE(lifetime, node, run)
+};
+
+/*! @brief Progress of one task. */
+struct TaskProgress {
+    bool done { false };
+    std::uint32_t failures { 0 };
+    /*! @brief Number of the last run that was ordered. */
+    std::uint64_t lastRun { 0 };
+    std::string checkpoint;
+    /*! @brief Executor of the last failure, avoided by the next run where others fit. */
+    std::string failedOn;
+    std::vector<RunPlacement> placements;
+    MSGPACK_DEFINE(done, failures, lastRun, checkpoint, failedOn, placements)
+};
+
+/*! @brief Head of a progress row, which readers that only want the state decode. */
+struct ProgressHead {
+    std::uint8_t state { 0 };
+    std::string queue;
+    std::string workspace;
+    std::int64_t endedUnixMs { 0 };
+    MSGPACK_DEFINE(state, queue, workspace, endedUnixMs)
+};
+
+/*! @brief Mutable part of a job; only the leader changes it after the insertion. */
+class JobProgress {
+public:
+    JobProgress() = default;
+
+    /**
+     * @brief Makes the progress of a new job.
+     * @param request The job.
+     */
+    explicit JobProgress(const JobRequest& request);
+
+    WorkloadState state { WorkloadState::pending };
+    std::int64_t endedUnixMs { 0 };
+
+    /**
+     * @brief Gives a task.
+     * @param position Position inside the job; must be valid.
+     * @return The task.
+     */
+    [[nodiscard]] TaskProgress& at(const TaskPosition& position);
+    /*! @copydoc at */
+    [[nodiscard]] const TaskProgress& at(const TaskPosition& position) const;
+
+    /**
+     * @brief Finds a task.
+     * @param position Position inside the job.
+     * @return The task, or null when the job has no such task.
+     */
+    [[nodiscard]] TaskProgress* find(const TaskPosition& position);
+
+    /**
+     * @brief Counts the tasks of a step that are not done.
+     * @param occurrence Number of the occurrence.
+     * @param step Number of the step.
+     * @return Number of tasks.
+     */
+    [[nodiscard]] std::uint32_t openTasks(std::uint32_t occurrence, std::uint32_t step) const;
+
+    /**
+     * @brief Encodes the progress for its row.
+     * @param queue Queue of the job.
+     * @param workspace Workspace of the job.
+     * @return Bytes.
+     */
+    [[nodiscard]] std::string encode(const std::string& queue, const std::string& workspace) const;
+
+    /**
+     * @brief Decodes a row.
+     * @param request The job.
+     * @param bytes What encode() wrote.
+     * @return The progress.
+     * @throws Error of kind malformedFrame.
+     */
+    [[nodiscard]] static JobProgress decode(const JobRequest& request, std::string_view bytes);
+
+    /**
+     * @brief Decodes only the head of a row.
+     * @param bytes What encode() wrote.
+     * @return The head.
+     * @throws Error of kind malformedFrame.
+     */
+    [[nodiscard]] static ProgressHead decodeHead(std::string_view bytes);
+
+    /**
+     * @brief Calls a function for each task.
+     * @tparam Function Callable as `void(const TaskPosition&, TaskProgress&)`.
+     * @param function The function.
+     */
+    template <typename Function>
+    void forEach(Function function)
+    {
+        for (std::uint32_t k = 0; k < m_occurrences; ++k) {
+            for (std::uint32_t s = 0; s + 1 < m_offsets.size(); ++s) {
+                for (std::uint32_t i = 0; i < m_offsets[s + 1] - m_offsets[s]; ++i) {
+                    const TaskPosition position { k, s, i };
+                    function(position, at(position));
+                }
+            }
+        }
+    }
+
+private:
+    [[nodiscard]] std::size_t indexOf(const TaskPosition& position) const;
+
+    std::uint32_t m_occurrences { 0 };
+    /*! @brief Number of the first task of each step inside an occurrence, and the number of tasks at the end. */
+    std::vector<std::uint32_t> m_offsets { 0 };
+    std::vector<TaskProgress> m_tasks;
+};
+
+/**
+ * @brief Encodes a value with msgpack.
+ * @tparam Value Type with MSGPACK_DEFINE.
+ * @param value The value.
+ * @return Bytes.
+ */
+template <typename Value>
+[[nodiscard]] std::string packValue(const Value& value)
+{
+    msgpack::sbuffer buf;
+    msgpack::pack(buf, value);
+    return { buf.data(), buf.size() };
+}
+
+/**
+ * @brief Decodes a value that packValue() wrote.
+ * @tparam Value Type with MSGPACK_DEFINE.
+ * @param bytes The bytes.
+ * @return The value.
+ * @throws Error of kind malformedFrame.
+ */
+template <typename Value>
+[[nodiscard]] Value unpackValue(std::string_view bytes);
+
+namespace detail {
+[[noreturn]] void throwUnreadableRow(const char* reason);
+}
+
+template <typename Value>
+Value unpackValue(std::string_view bytes)
+{
+    try {
+        return msgpack::unpack(bytes.data(), bytes.size()).get().as<Value>();
+    } catch (const std::exception& error) {
+        detail::throwUnreadableRow(error.what());
+    }
+}
+
+}
--- /dev/null
+++ b/src/lycheespool/workload/job_request.cpp
@@ -0,0 +1,45 @@
+#include "lycheespool/workload/job_request.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace lycheespool {
+
+namespace {
+
+std::optional<std::string> findStepFault(const StepSpec& step, std::size_t number)
+{
+    if (step.tasks == 0)
+        return fmt::format("step {} has no task; give a count of 1 or more", number);
+    const auto& need = step.perTask;
+    if (need.milliCores < 0 || need.memoryMiB < 0 || need.accelerators < 0)
+        return fmt::format("step {} asks for a negative amount; give amounts of 0 or more", number);
+    // Steps only depend on earlier ones, which rules out cycles.
+    if (std::ranges::any_of(step.after, [&](std::uint32_t it) { return it >= number; }))
+        return fmt::format("step {} does not depend on earlier steps only; reorder the steps", number);
+    return std::nullopt;
+}
+
+}
+
+std::optional<std::string> findFault(const JobRequest& request)
+{
+    if (request.steps.empty())
+        return "the job has no steps; add at least one";
+    if (request.steps.size() > maxStepsPerJob)
+        return fmt::format("the job has {} steps; use at most {}", request.steps.size(), maxStepsPerJob);
+    std::uint64_t tasks = 0;
+    for (std::size_t i = 0; i < request.steps.size(); ++i) {
+        if (auto fault = findStepFault(request.steps[i], i))
+            return fault;
+        tasks += request.steps[i].tasks;
+    }
+    if (tasks * request.rounds() > maxTasksPerJob)
+        return fmt::format("the job has {} tasks; use at most {}", tasks * request.rounds(), maxTasksPerJob);
+    if (request.occurrences > 0 && request.intervalMs < 0)
+        return "the interval is negative; give 0 or more";
+    return std::nullopt;
+}
+
+}
--- /dev/null
+++ b/src/lycheespool/workload/job_request.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "lycheespool/workload/step_spec.h"
+
+#include <cstdint>
+#include <msgpack.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace lycheespool {
+
+/*! @brief A job as a client submits it. */
+struct JobRequest {
+    /*! @brief Opaque text that executors receive with each task. */
+    std::string payload;
+    std::vector<StepSpec> steps;
+    /*! @brief Number of times that the steps run; 0 means once, without a schedule. */
+    std::uint32_t occurrences { 0 };
+    /*! @brief Unix time at which the first occurrence is due, ms. */
+    std::int64_t firstDueUnixMs { 0 };
+    std::int64_t intervalMs { 0 };
+    MSGPACK_DEFINE(payload, steps, occurrences, firstDueUnixMs, intervalMs)
+
+    /**
+     * @brief Counts how often the steps run.
+     * @return At least 1.
+     */
+    [[nodiscard]] std::uint32_t rounds() const { return occurrences == 0 ? 1 : occurrences; }
+};
+
+/*! @brief How a queue treats its jobs. */
+struct QueuePolicy {
+    /*! @brief Service whose executors run the tasks. */
+    std::string service;
+    /*! @brief 0 is the most important. */
+    std::uint32_t priority { 0 };
+    /*! @brief A task fails its job when it has failed this often. */
+    std::uint32_t maxAttempts { 1 };
+    /*! @brief Factor of the longest chain of work in the latency objective. */
+    double stretch { 1.0 };
+    /*! @brief Constant part of the latency objective, ms. */
+    std::int64_t targetLatencyMs { 0 };
+    MSGPACK_DEFINE(service, priority, maxAttempts, stretch, targetLatencyMs)
+};
+
+/*! @brief Stored form of an accepted job; written once. */
+struct JobRow {
+    JobRequest request;
+    /*! @brief Name of the queue (route) that accepted the job. */
+    std::string queue;
+    std::string workspace;
+    std::int64_t acceptedUnixMs { 0 };
+    /*! @brief Policy of the queue at acceptance; holds when the queue is removed before the job ends. */
+    QueuePolicy policy;
+    MSGPACK_DEFINE(request, queue, workspace, acceptedUnixMs, policy)
+};
+
+/*! @brief Most tasks of one job over all steps and occurrences; bounds the progress row to 64 KiB. */
+inline constexpr std::uint64_t maxTasksPerJob = 6000;
+/*! @brief Most steps of one job. */
+inline constexpr std::size_t maxStepsPerJob = 200;
+
+/**
+ * @brief Finds what makes a job impossible to accept.
+ * @param request The job.
+ * @return A reason with its remedy, or nothing.
+ */
+[[nodiscard]] std::optional<std::string> findFault(const JobRequest& request);
+
+}
--- a/test/lycheespool/agent/worker_tasks.cpp
+++ b/test/lycheespool/agent/worker_tasks.cpp
@@ -1,6 +1,6 @@
 #include "lycheespool/agent/worker_tasks.h"
 
-#include "lycheespool/platform/direct_worker.h"
+#include "lycheespool/emulator/direct_worker.h"
 
 #include <doctest/doctest.h>
 
--- a/test/lycheespool/platform/direct_worker.h
+++ b/test/lycheespool/emulator/direct_worker.h
@@ -2,8 +2,8 @@
 
 #include "lycheespool/core/clock.h"
 #include "lycheespool/core/error.h"
-#include "lycheespool/platform/worker_api.h"
-#include "lycheespool/platform/worker_model.h"
+#include "lycheespool/emulator/worker_api.h"
+#include "lycheespool/emulator/worker_model.h"
 
 namespace lycheespool {
 
--- a/test/lycheespool/platform/worker_model.cpp
+++ b/test/lycheespool/emulator/worker_model.cpp
@@ -1,4 +1,4 @@
-#include "lycheespool/platform/worker_model.h"
+#include "lycheespool/emulator/worker_model.h"
 
 #include "lycheespool/core/error.h"
 
--- a/test/lycheespool/platform/worker_service.cpp
+++ b/test/lycheespool/emulator/worker_service.cpp
@@ -1,7 +1,7 @@
-#include "lycheespool/platform/worker_service.h"
+#include "lycheespool/emulator/worker_service.h"
 
 #include "lycheespool/core/error.h"
-#include "lycheespool/platform/worker_client.h"
+#include "lycheespool/emulator/worker_client.h"
 
 #include <doctest/doctest.h>
 
--- a/test/lycheespool/scheduler/fake_orders.h
+++ b/test/lycheespool/scheduler/fake_orders.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "lycheespool/core/error.h"
+#include "lycheespool/emulator/direct_worker.h"
 #include "lycheespool/net/signal.h"
-#include "lycheespool/platform/direct_worker.h"
 #include "lycheespool/scheduler/order_channel.h"
 #include "sim_agent.h"
 
--- a/test/lycheespool/scheduler/sim_agent.h
+++ b/test/lycheespool/scheduler/sim_agent.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "lycheespool/agent/worker_tasks.h"
-#include "lycheespool/platform/direct_worker.h"
+#include "lycheespool/emulator/direct_worker.h"
 
 #include <memory>
 #include <set>
