Blame executors for failures in a row, ignore the silence of an executor as lack of progress

Gangs retried on executors that fail everything. Change: progress is judged between two lists of the executor; executors with old lists get no starts; two failures without a success make an executor suspect; a job avoids the nodes where it failed.

--- a/src/lycheespool/controller/controller.h
+++ b/src/lycheespool/controller/controller.h
@@ -184,6 +184,7 @@
     // Runs.
     void applyEnd(ExecutorView& node, const RunEnd& end, const Moment& now);
     void countFailure(ManagedWorkload& job, const RunKey& key, ExecutorView& node, const Moment& now);
+    void suspect(ManagedWorkload& job, ExecutorView& node, const Moment& now);
     void markDone(ManagedWorkload& job, const TaskPosition& position, const Moment& now);
     void releaseRun(Runs::iterator it);
     void stopRun(const RunKey& key, const std::string& reason);
--- a/src/lycheespool/controller/controller_jobs.cpp
+++ b/src/lycheespool/controller/controller_jobs.cpp
@@ -99,7 +99,6 @@
             run.phase = RunPhase::ordered;
             run.charged = steps[position.step].charged();
             run.orderedAt = now;
-            run.percentChangedAt = now;
             if (isEnded(job.progress.state))
                 run.stopReason = "job has ended";
             m_runs.emplace(key, std::move(run));
--- a/src/lycheespool/controller/controller_planning.cpp
+++ b/src/lycheespool/controller/controller_planning.cpp
@@ -4,6 +4,7 @@
 #include "lycheespool/core/event_log.h"
 #include "lycheespool/dispatch/start_planner.h"
 
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -14,6 +15,8 @@
 
 // The bench and the users value an accelerator like this many cores.
 constexpr double coresPerAccelerator = 8;
+// A job that failed on more nodes than this probably fails by its own fault, on any node.
+constexpr std::size_t maxAvoidedNodes = 6;
 // Guaranteed gangs wait this long for a single rack; they must start within a reclaim bound of about 2.7 s.
 constexpr std::int64_t guaranteedRackWaitMs = 1000;
 // Stopping work of priority 0 costs its caller more than stopping other work.
@@ -29,7 +32,10 @@
 
 bool Controller::takesWork(const ExecutorView& node, TimePoint now) const
 {
-    return node.state == ExecutorState::ready && !node.isLost && now - node.heardAt <= m_settings.contactAge
+    // An executor whose lists are old does not answer its agent.
+    const bool answers = node.listedAtMs > 0
+        && std::chrono::milliseconds { node.newestReportMs - node.listedAtMs } <= m_settings.contactAge;
+    return answers && node.state == ExecutorState::ready && !node.isLost && now - node.heardAt <= m_settings.contactAge
         && !m_zonesOut.contains(node.zone);
 }
 
@@ -120,26 +126,11 @@
             ++request.tasksOn[it.node];
     }
     const auto rank = rankOf({ policy.priority, isGuaranteed, ageMs, objective, remaining });
-    // Tasks that failed on different nodes avoid different nodes, so they make requests of their own.
-    std::map<std::string, std::vector<std::uint32_t>> byAvoided;
+    if (job.failedNodes.size() <= maxAvoidedNodes)
+        request.avoidedNodes = job.failedNodes;
     const auto& waiting = job.round(occurrence, step).waiting;
-    if (spec.isGang) {
-        std::string avoided;
-        for (const auto index : waiting) {
-            const auto& failedOn = job.progress.at({ occurrence, step, index }).failedOn;
-            if (!failedOn.empty())
-                avoided = failedOn;
-        }
-        byAvoided[avoided] = { waiting.begin(), waiting.end() };
-    } else {
-        for (const auto index : waiting)
-            byAvoided[job.progress.at({ occurrence, step, index }).failedOn].push_back(index);
-    }
-    for (auto& [avoided, indices] : byAvoided) {
-        request.avoidedNode = avoided;
-        request.tasks = static_cast<std::uint32_t>(indices.size());
-        steps.push_back({ rank, &job, occurrence, step, std::move(indices), request });
-    }
+    request.tasks = static_cast<std::uint32_t>(waiting.size());
+    steps.push_back({ rank, &job, occurrence, step, { waiting.begin(), waiting.end() }, request });
 }
 
 double Controller::unsavedWork(const RunKey& key, const LiveRun& run, TimePoint now) const
@@ -258,6 +249,7 @@
         job.progress.state = WorkloadState::running;
         m_waitMs.record(static_cast<double>(now.unixMs - job.row.acceptedUnixMs));
     }
+    std::vector<std::string> placed;
     for (std::size_t i = 0; i < nodes.size(); ++i) {
         const TaskPosition position { waiting.occurrence, waiting.step, waiting.indices[i] };
         auto& task = job.progress.at(position);
@@ -272,20 +264,18 @@
         run.plannedRevision = job.revision;
         run.charged = spec.charged();
         run.checkpoint = task.checkpoint;
-        run.percentChangedAt = now.steady;
         const RunKey key { { job.id, position }, task.lastRun };
         m_runs.emplace(key, std::move(run));
         round.waiting.erase(position.index);
         ++round.live;
         m_runsPlanned.add();
-        logEvent("run_planned",
-            { { "job", job.id }, { "task", key.task.toString() }, { "run", key.run }, { "node", node.node },
-                { "executor", node.lifetime.executor }, { "tier", waiting.rank.tier },
-                { "slack_ms", waiting.rank.slackMs }, { "late", waiting.rank.isLate },
-                { "report_age_ms",
-                    std::chrono::duration_cast<std::chrono::milliseconds>(now.steady - node.heardAt).count() },
-                { "config_version", m_config->version }, { "epoch", m_epoch.value() } });
+        placed.push_back(fmt::format("{}#{}@{}", key.task.toString(), key.run, node.node));
     }
+    logEvent("runs_planned",
+        { { "job", job.id }, { "tasks", placed }, { "tier", waiting.rank.tier }, { "slack_ms", waiting.rank.slackMs },
+            { "late", waiting.rank.isLate }, { "gang", spec.isGang }, { "left_waiting", round.waiting.size() },
+            { "remote_accepted", waiting.request.acceptsRemote }, { "config_version", m_config->version },
+            { "epoch", m_epoch.value() } });
 }
 
 /*! @brief Tells whether a start that was decided earlier is still right. */
--- a/src/lycheespool/controller/controller_runs.cpp
+++ b/src/lycheespool/controller/controller_runs.cpp
@@ -14,8 +14,10 @@
 
 // An executor returns its list of ends in pieces of this size; a full piece may hide later ends.
 constexpr std::size_t endsPerList = 500;
-// Different jobs that must fail in a row before the executor rather than the jobs is suspected.
+// Failures without a success between them after which a node is suspected; sound tasks fail at times as well.
 constexpr std::size_t failuresToSuspect = 2;
+// Nodes on which a job must fail before the job rather than the nodes is suspected.
+constexpr std::size_t nodesToBlameJob = 2;
 
 constexpr std::string_view endName(RunEndKind kind)
 {
@@ -65,6 +67,7 @@
     node.capacity = report.capacity;
     node.heardAt = now.steady;
     node.newestReportMs = report.sentAtMs;
+    node.listedAtMs = report.listedAtMs;
     if (report.state == ExecutorState::departed || report.state == ExecutorState::absent) {
         // A departed executor ends at once and takes everything that it runs with it.
         if (report.state == ExecutorState::departed)
@@ -102,12 +105,11 @@
         if (run.phase != RunPhase::confirmed) {
             run.phase = RunPhase::confirmed;
             run.confirmedAt = now.steady;
-            run.percentChangedAt = now.steady;
             run.answeredAtMs = 0;
         }
-        if (it.percent != run.percent) {
+        if (it.percent != run.percent || run.percentListedMs == 0) {
             run.percent = it.percent;
-            run.percentChangedAt = now.steady;
+            run.percentListedMs = report.listedAtMs;
         }
         if (it.checkpoint != run.checkpoint) {
             run.checkpoint = it.checkpoint;
@@ -174,6 +176,8 @@
         if (end.kind == RunEndKind::done) {
             m_runsDone.add();
             node.failedJobs.clear();
+            node.failuresInARow = 0;
+            node.suspectUntil = {};
             if (!isEnded(job->progress.state))
                 markDone(*job, position, now);
         } else {
@@ -216,18 +220,11 @@
 void Controller::countFailure(ManagedWorkload& job, const RunKey& key, ExecutorView& node, const Moment& now)
 {
     m_runsFailed.add();
-    node.failedJobs.insert(job.id);
-    if (node.failedJobs.size() >= failuresToSuspect) {
-        node.suspectUntil = now.steady + m_settings.suspicion;
-        logEvent("executor_suspected",
-            { { "node", node.node }, { "executor", node.lifetime.executor },
-                { "reason", "several jobs failed in a row" }, { "failed_jobs", node.failedJobs.size() } });
-    }
+    suspect(job, node, now);
     const auto& position = key.task.position;
     const auto& step = job.row.request.steps[position.step];
     auto& round = job.round(position.occurrence, position.step);
     auto& task = job.progress.at(position);
-    task.failedOn = node.node;
     if (step.isGang && round.lastFailedRun == key.run)
         return;
     round.lastFailedRun = key.run;
@@ -239,6 +236,33 @@
         endJob(job, WorkloadState::failed, "task " + key.task.toString() + " failed too often", now);
 }
 
+/*! @brief Suspects the node of a failure, or the job when it failed on several nodes that are sound otherwise. */
+void Controller::suspect(ManagedWorkload& job, ExecutorView& node, const Moment& now)
+{
+    node.failedJobs.insert(job.id);
+    ++node.failuresInARow;
+    job.failedNodes.insert(node.node);
+    const auto failsOnlyThis = [&](const std::string& name) {
+        const auto& failed = m_nodes[name].failedJobs;
+        return failed.empty() || (failed.size() == 1 && failed.contains(job.id));
+    };
+    if (job.failedNodes.size() >= nodesToBlameJob && std::ranges::all_of(job.failedNodes, failsOnlyThis)) {
+        for (const auto& it : job.failedNodes) {
+            m_nodes[it].failedJobs.clear();
+            m_nodes[it].failuresInARow = 0;
+            m_nodes[it].suspectUntil = {};
+        }
+        logEvent("job_suspected", { { "job", job.id }, { "failed_nodes", job.failedNodes.size() } });
+        return;
+    }
+    if (node.failuresInARow < failuresToSuspect)
+        return;
+    node.suspectUntil = now.steady + m_settings.suspicion;
+    logEvent("executor_suspected",
+        { { "node", node.node }, { "executor", node.lifetime.executor }, { "job", job.id },
+            { "failed_jobs", node.failedJobs.size() } });
+}
+
 void Controller::keepCheckpoint(ManagedWorkload& job, const RunKey& key, const std::string& checkpoint)
 {
     if (checkpoint.empty())
@@ -344,7 +368,6 @@
         if (run.phase != RunPhase::confirmed) {
             run.phase = RunPhase::confirmed;
             run.confirmedAt = now.steady;
-            run.percentChangedAt = now.steady;
         }
         run.answeredAtMs = outcome.answeredAtMs;
         break;
@@ -406,18 +429,20 @@
     auto* const job = findJob(key.task.job);
     if (!job || job->row.request.steps[key.task.position.step].isService)
         return;
-    const auto elapsed = run.percentChangedAt - run.confirmedAt;
+    // Only lists of the executor tell progress; a silent executor says nothing about its tasks.
+    const auto sinceChange = std::chrono::milliseconds { node->second.listedAtMs - run.percentListedMs };
+    const auto elapsed = std::max<Duration>(now.steady - run.confirmedAt - sinceChange, {});
     // A task that has advanced is expected to advance by a percent in the mean time it needed so far; one that has not
     // is given its estimate divided by 10, since estimates are wrong by up to that factor.
     const auto& step = job->row.request.steps[key.task.position.step];
     const Duration perPercent
         = run.percent > 0 ? elapsed / run.percent : std::chrono::milliseconds { step.estimatedMs / 10 };
     const auto limit = std::max<Duration>(m_settings.stallTime, perPercent * 5);
-    if (now.steady - run.percentChangedAt < limit)
+    if (run.percentListedMs == 0 || sinceChange < limit)
         return;
     m_runsStalled.add();
     node->second.suspectUntil = now.steady + m_settings.suspicion;
-    job->progress.at(key.task.position).failedOn = run.node;
+    job->failedNodes.insert(run.node);
     logEvent("run_stalled",
         { { "task", key.task.toString() }, { "run", key.run }, { "node", run.node }, { "percent", run.percent } });
     if (step.isGang)
--- a/src/lycheespool/controller/executor_view.h
+++ b/src/lycheespool/controller/executor_view.h
@@ -40,13 +40,17 @@
     TimePoint permitsEndAt {};
     /*! @brief The permits ran out without contact, so nothing runs there. */
     bool isLost { false };
+    /*! @brief Agent's clock when it sent the newest report, ms. */
     std::uint64_t newestReportMs { 0 };
+    /*! @brief Agent's clock when it asked the executor for the newest lists, ms; 0 for none. */
+    std::uint64_t listedAtMs { 0 };
     std::uint64_t endsApplied { 0 };
     std::uint64_t endsStored { 0 };
     std::deque<PendingEnd> pendingEnds;
     std::map<RunKey, Stray> strays;
-    /*! @brief Jobs that failed here since the last success. */
+    /*! @brief Jobs that failed here since the last success, unless they failed elsewhere too. */
     std::set<std::string> failedJobs;
+    std::size_t failuresInARow { 0 };
     TimePoint suspectUntil {};
 };
 
--- a/src/lycheespool/controller/live_run.h
+++ b/src/lycheespool/controller/live_run.h
@@ -49,7 +49,8 @@
     /*! @brief Agent's clock when the executor answered the newest order, ms. */
     std::uint64_t answeredAtMs { 0 };
     std::uint32_t percent { 0 };
-    TimePoint percentChangedAt {};
+    /*! @brief Agent's clock of the first list that showed the percent, ms; 0 before the first list. */
+    std::uint64_t percentListedMs { 0 };
     std::string checkpoint;
     /*! @brief When the newest checkpoint was first reported. */
     TimePoint checkpointAt {};
--- a/src/lycheespool/controller/managed_workload.h
+++ b/src/lycheespool/controller/managed_workload.h
@@ -34,6 +34,8 @@
     std::uint64_t storedRevision { 0 };
     /*! @brief Version of the progress row. */
     std::uint64_t rowVersion { 0 };
+    /*! @brief Nodes on which tasks of the job failed. */
+    std::set<std::string> failedNodes;
     /*! @brief Estimated run time from the start of each step to the end of the job, ms. */
     std::vector<std::int64_t> chainMs;
 
--- a/src/lycheespool/core/event_log.h
+++ b/src/lycheespool/core/event_log.h
@@ -31,6 +31,6 @@
 void logEvent(std::string_view event, nlohmann::json fields);
 
 /*! @brief Most lines of one event per second. */
-inline constexpr unsigned maxLinesPerSecond = 50;
+inline constexpr unsigned maxLinesPerSecond = 100;
 
 }
--- a/src/lycheespool/dispatch/start_planner.cpp
+++ b/src/lycheespool/dispatch/start_planner.cpp
@@ -46,7 +46,7 @@
     const auto& it = m_nodes[node];
     if (!it.isUsable || m_reserved[node] || (it.isSuspect && !scope.withSuspects))
         return false;
-    if (!scope.withSuspects && it.node == request.avoidedNode)
+    if (!scope.withSuspects && request.avoidedNodes.contains(it.node))
         return false;
     if (!scope.rack.empty() && it.rack != scope.rack)
         return false;
--- a/src/lycheespool/dispatch/start_request.h
+++ b/src/lycheespool/dispatch/start_request.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -26,8 +27,8 @@
     std::uint32_t maxPerNode { 0 };
     /*! @brief Tasks of the step that run already, by node. */
     std::map<std::string, std::uint32_t> tasksOn;
-    /*! @brief Node where the task failed last. */
-    std::string avoidedNode;
+    /*! @brief Nodes where tasks of the job failed; used only where nothing else fits. */
+    std::set<std::string> avoidedNodes;
     /*! @brief The work is within its workspace's guarantee, so that other work is stopped for it. */
     bool mayEvict { false };
 };
--- a/src/lycheespool/workload/job_progress.h
+++ b/src/lycheespool/workload/job_progress.h
@@ -39,10 +39,8 @@
     /*! @brief Number of the last run that was ordered. */
     std::uint64_t lastRun { 0 };
     std::string checkpoint;
-    /*! @brief Executor of the last failure, avoided by the next run where others fit. */
-    std::string failedOn;
     std::vector<RunPlacement> placements;
-    MSGPACK_DEFINE(done, failures, lastRun, checkpoint, failedOn, placements)
+    MSGPACK_DEFINE(done, failures, lastRun, checkpoint, placements)
 };
 
 /*! @brief Head of a progress row, which readers that only want the state decode. */
