Spread accepted jobs and the lease over partitions of the store

Ruled out: processor time (0.02 cores), the leader (none was chosen because its takeover got 429 as well). Conclusion: entries accept work while the store is slow.

--- a/src/lycheespool/cluster/operator_watcher.h
+++ b/src/lycheespool/cluster/operator_watcher.h
@@ -112,8 +112,13 @@
                 else
                     m_rows[it.name.key] = it.value;
             }
-            if (!changes.rows.empty())
+            if (!changes.rows.empty()) {
                 apply();
+            } else {
+                // The store waited before it answered that nothing had changed.
+                m_confirmedAt = sent + feedWait;
+                co_return;
+            }
         }
         m_confirmedAt = sent;
     }
--- a/src/lycheespool/controller/controller.h
+++ b/src/lycheespool/controller/controller.h
@@ -55,8 +55,8 @@
      * @brief Takes a job in.
      * @param id Name of the job.
      * @param row What was accepted.
-     * @param progress Bytes of the progress row.
-     * @param rowVersion Version of the progress row.
+     * @param progress Bytes of the progress row; empty when there is none yet.
+     * @param rowVersion Version of the progress row, 0 when there is none yet.
      * @param now Present time.
      * @throws Error of kind malformedFrame when the progress is not readable.
      */
--- a/src/lycheespool/controller/controller_jobs.cpp
+++ b/src/lycheespool/controller/controller_jobs.cpp
@@ -67,10 +67,11 @@
         return;
     ManagedWorkload job;
     job.id = id;
-    job.progress = JobProgress::decode(row.request, progress);
+    job.progress = progress.empty() ? JobProgress { row.request } : JobProgress::decode(row.request, progress);
     job.row = std::move(row);
     job.rowVersion = rowVersion;
-    job.storedRevision = job.revision;
+    // A job without a row is stored with its first change, or at once.
+    job.storedRevision = rowVersion > 0 ? job.revision : 0;
     job.chainMs = chainTimes(job.row.request);
     auto& added = m_jobs.emplace(id, std::move(job)).first->second;
     adoptTasks(added, now);
--- a/src/lycheespool/controller/leader_host.h
+++ b/src/lycheespool/controller/leader_host.h
@@ -5,7 +5,11 @@
 #include "lycheespool/controller/leadership.h"
 #include "lycheespool/net/rpc_connection.h"
 #include "lycheespool/net/wake_up.h"
+#include "lycheespool/net/when_all.h"
 
+#include <algorithm>
+#include <iterator>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <string>
@@ -25,6 +29,8 @@
 public:
     /*! @brief Longest time for an answer of the store to a read or write of rows. */
     static constexpr Duration answerTimeout = std::chrono::milliseconds { 1500 };
+    /*! @brief Least time between two steps of the lease, also when the store answers slowly. */
+    static constexpr Duration minLeaseInterval = std::chrono::milliseconds { 20 };
     /*! @brief Longest wait of a feed for new jobs. */
     static constexpr Duration feedWait = std::chrono::milliseconds { 1000 };
     /*! @brief Longest time between two looks at the state without an event. */
@@ -126,6 +132,7 @@
     [[nodiscard]] Awaitable<> leaseLoop()
     {
         while (true) {
+            const auto begun = BootClock {}.now();
             const auto change = co_await m_leadership.step();
             if (change == LeadershipChange::taken) {
                 m_takeovers.add();
@@ -137,7 +144,9 @@
                 ++m_term;
                 m_controller.reset();
             }
-            co_await sleepFor(Leadership<Store>::times.renewInterval);
+            // A slow answer must not delay the next renewal, which is due an interval after this one was sent.
+            const auto rest = Leadership<Store>::times.renewInterval - (BootClock {}.now() - begun);
+            co_await sleepFor(std::max<Duration>(rest, minLeaseInterval));
         }
     }
 
@@ -145,11 +154,14 @@
     [[nodiscard]] Awaitable<> termLoop(std::uint64_t term)
     {
         std::optional<std::uint64_t> version;
+        bool isFenced = false;
         m_controller.reset();
         while (m_term == term) {
             bool failed = false;
             try {
-                if (!version)
+                if (!isFenced)
+                    isFenced = co_await m_leadership.raiseFence();
+                else if (!version)
                     version = co_await rebuild(term);
                 else
                     version = co_await follow(term, *version);
@@ -168,10 +180,23 @@
 
     [[nodiscard]] Awaitable<std::uint64_t> rebuild(std::uint64_t term)
     {
-        RowRange intakeRange { std::string { RowNames::intakeTable }, m_names.partition, {}, {} };
+        std::vector<Awaitable<RowList>> reads;
+        for (unsigned shard = 0; shard < RowNames::intakeShards; ++shard)
+            reads.push_back(readShard(shard));
         RowRange progressRange { std::string { RowNames::progressTable }, m_names.partition, {}, {} };
-        const auto intake = co_await m_store.list(std::move(intakeRange), answerTimeout);
-        const auto progress = co_await m_store.list(std::move(progressRange), answerTimeout);
+        reads.push_back(m_store.list(std::move(progressRange), answerTimeout));
+        const auto settled = co_await whenAll(std::move(reads));
+        RowList intake;
+        intake.version = std::numeric_limits<std::uint64_t>::max();
+        for (const auto& it : settled) {
+            if (it.error)
+                std::rethrow_exception(it.error);
+            // The feed continues from the oldest list, so that no change falls between two lists.
+            intake.version = std::min(intake.version, it.value.version);
+            if (&it != &settled.back())
+                std::ranges::copy(it.value.rows, std::back_inserter(intake.rows));
+        }
+        const auto& progress = settled.back().value;
         if (m_term != term)
             co_return intake.version;
         const auto now = moment();
@@ -181,11 +206,14 @@
         for (const auto& it : progress.rows)
             progressOf[it.name.key] = &it;
         for (const auto& it : intake.rows) {
-            const auto row = it.name.key.starts_with(RowNames::jobPrefix)
-                ? progressOf.find(it.name.key.substr(RowNames::jobPrefix.size()))
-                : progressOf.end();
-            if (row != progressOf.end())
-                takeIn(row->first, it, row->second->value, row->second->version, now);
+            if (!it.name.key.starts_with(RowNames::jobPrefix))
+                continue;
+            const auto id = it.name.key.substr(RowNames::jobPrefix.size());
+            const auto row = progressOf.find(id);
+            if (row == progressOf.end())
+                takeIn(id, it, {}, 0, now);
+            else
+                takeIn(id, it, row->second->value, row->second->version, now);
         }
         for (const auto& it : intake.rows)
             takeCancel(it, now);
@@ -196,6 +224,12 @@
         co_return intake.version;
     }
 
+    [[nodiscard]] Awaitable<RowList> readShard(unsigned shard)
+    {
+        RowRange range { std::string { RowNames::intakeTable }, m_names.intakePartition(shard), {}, {} };
+        co_return co_await m_store.list(std::move(range), answerTimeout);
+    }
+
     [[nodiscard]] Awaitable<std::optional<std::uint64_t>> follow(std::uint64_t term, std::uint64_t after)
     {
         std::string table { RowNames::intakeTable };
@@ -210,8 +244,7 @@
         for (const auto& it : changes.rows) {
             if (it.isRemoved || !it.name.key.starts_with(RowNames::jobPrefix))
                 continue;
-            // The entry writes the job and its progress in one transaction, so both have the same version.
-            takeIn(it.name.key.substr(RowNames::jobPrefix.size()), it, {}, it.version, now);
+            takeIn(it.name.key.substr(RowNames::jobPrefix.size()), it, {}, 0, now);
         }
         for (const auto& it : changes.rows)
             takeCancel(it, now);
@@ -225,9 +258,7 @@
     {
         try {
             auto job = unpackValue<JobRow>(row.value);
-            const auto initial = progress.empty() ? JobProgress { job.request }.encode(job.queue, job.workspace)
-                                                  : std::string { progress };
-            m_controller->addJob(id, std::move(job), initial, version, now.steady);
+            m_controller->addJob(id, std::move(job), progress, version, now.steady);
         } catch (const Error& error) {
             logEvent("job_row_unreadable", { { "job", id }, { "version", row.version }, { "reason", error.what() } });
         }
--- a/src/lycheespool/controller/leadership.h
+++ b/src/lycheespool/controller/leadership.h
@@ -12,6 +12,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <string>
 
@@ -43,7 +44,7 @@
         : m_store { store }
         , m_names { std::move(names) }
         , m_self { std::move(self) }
-        , m_lease { times }
+        , m_lease { withJitter(m_self) }
     {
     }
 
@@ -66,7 +67,7 @@
             co_return;
         LeaseRow empty;
         empty.epoch = m_self.epoch;
-        auto transaction = write(empty, false);
+        auto transaction = write(empty);
         try {
             (void)co_await m_store.commit(std::move(transaction), answerTimeout);
             logEvent("leadership_returned", { { "epoch", m_self.epoch } });
@@ -80,7 +81,7 @@
      * @param now Present time.
      * @return True within the term of the last successful renewal.
      */
-    [[nodiscard]] bool isHeld(TimePoint now) const { return m_isLeading && m_lease.isHeld(now); }
+    [[nodiscard]] bool isHeld(TimePoint now) const { return m_isLeading && m_fenceVersion > 0 && m_lease.isHeld(now); }
 
     /**
      * @brief Tells whether no other process is known to lead, although the store may be out of reach.
@@ -96,24 +97,59 @@
     /*! @brief Fencing number of the present or last term. */
     [[nodiscard]] Epoch epoch() const { return Epoch { m_self.epoch }; }
     /*! @brief Condition that fails once another process leads. */
-    [[nodiscard]] RowCondition fence() const { return { m_names.epoch(), m_epochVersion }; }
+    [[nodiscard]] RowCondition fence() const { return { m_names.fence(), m_fenceVersion }; }
+
+    /**
+     * @brief Writes the epoch of a new term into the fence, so that transactions of predecessors fail from then on.
+     * @return True when the fence carries this term; false when another term passed it.
+     * @throws Error when the store did not tell; to be called again.
+     */
+    [[nodiscard]] Awaitable<bool> raiseFence()
+    {
+        RowRange range { std::string { RowNames::controlTable }, m_names.partition, {}, {} };
+        const auto list = co_await m_store.list(std::move(range), answerTimeout);
+        const auto it = std::ranges::find(list.rows, m_names.fence(), &StoredRow::name);
+        std::uint64_t version = 0;
+        if (it != list.rows.end()) {
+            version = it->version;
+            const auto epoch = unpackValue<std::uint64_t>(it->value);
+            if (epoch == m_self.epoch)
+                m_fenceVersion = version;
+            if (epoch >= m_self.epoch)
+                co_return epoch == m_self.epoch;
+        }
+        RowTransaction transaction;
+        transaction.conditions.push_back({ m_names.fence(), version });
+        transaction.writes.push_back({ m_names.fence(), packValue(m_self.epoch) });
+        const auto commit = co_await m_store.commit(std::move(transaction), answerTimeout);
+        if (!commit.isCommitted)
+            co_return co_await raiseFence();
+        m_fenceVersion = commit.version;
+        co_return true;
+    }
 
 private:
-    [[nodiscard]] RowTransaction write(const LeaseRow& row, bool isTakeover) const
+    /*! @brief Spreads the candidates, since one lost transaction each would fill a slow store's queue. */
+    [[nodiscard]] static LeaderLeaseTimes withJitter(const LeaseRow& self)
+    {
+        constexpr std::uint64_t spreadMs = 500;
+        auto spread = times;
+        spread.takeoverDelay += std::chrono::milliseconds { self.incarnation % spreadMs };
+        return spread;
+    }
+
+    [[nodiscard]] RowTransaction write(const LeaseRow& row) const
     {
         RowTransaction transaction;
         transaction.conditions.push_back({ m_names.lease(), m_lease.version() });
-        transaction.conditions.push_back({ m_names.epoch(), m_epochVersion });
         transaction.writes.push_back({ m_names.lease(), packValue(row) });
-        if (isTakeover)
-            transaction.writes.push_back({ m_names.epoch(), packValue(row.epoch) });
         return transaction;
     }
 
     [[nodiscard]] Awaitable<LeadershipChange> renew()
     {
         const auto sent = BootClock {}.now();
-        auto transaction = write(m_self, false);
+        auto transaction = write(m_self);
         RowCommit commit;
         try {
             commit = co_await m_store.commit(std::move(transaction), answerTimeout);
@@ -136,7 +172,7 @@
         const auto sent = BootClock {}.now();
         RowList list;
         try {
-            RowRange range { std::string { RowNames::controlTable }, m_names.partition, {}, {} };
+            RowRange range { std::string { RowNames::controlTable }, m_names.leasePartition(), {}, {} };
             list = co_await m_store.list(std::move(range), answerTimeout);
         } catch (const Error& error) {
             if (!std::exchange(m_isDown, true))
@@ -146,19 +182,12 @@
         if (std::exchange(m_isDown, false))
             logEvent("lease_readable_again", { { "store_version", list.version } });
         LeaseRow row;
-        std::uint64_t leaseVersion = 0;
-        std::uint64_t epochVersion = 0;
-        std::uint64_t storedEpoch = 0;
-        for (const auto& it : list.rows) {
-            if (it.name == m_names.lease()) {
-                row = unpackValue<LeaseRow>(it.value);
-                leaseVersion = it.version;
-            } else if (it.name == m_names.epoch()) {
-                storedEpoch = unpackValue<std::uint64_t>(it.value);
-                epochVersion = it.version;
-            }
+        std::uint64_t version = 0;
+        if (const auto it = std::ranges::find(list.rows, m_names.lease(), &StoredRow::name); it != list.rows.end()) {
+            row = unpackValue<LeaseRow>(it->value);
+            version = it->version;
         }
-        m_lease.observe(leaseVersion, sent);
+        m_lease.observe(version, sent);
         const bool isOwn = row.holder == m_self.holder && row.incarnation == m_self.incarnation;
         if (m_isLeading) {
             if (isOwn && row.epoch == m_self.epoch) {
@@ -171,35 +200,35 @@
                 { { "epoch", m_self.epoch }, { "successor", row.holder }, { "successor_epoch", row.epoch } });
             co_return LeadershipChange::lost;
         }
-        m_epochVersion = epochVersion;
         // The row of an earlier process on the same VM is free at once, since two processes never share a VM.
         const bool isFree
             = row.holder.empty() || row.holder == m_self.holder || m_lease.mayTakeOver(BootClock {}.now());
         if (m_isRetired || !isFree)
             co_return LeadershipChange::none;
-        co_return co_await takeOver(std::max(storedEpoch, row.epoch) + 1, row);
+        co_return co_await takeOver(row);
     }
 
-    [[nodiscard]] Awaitable<LeadershipChange> takeOver(std::uint64_t epoch, LeaseRow previous)
+    [[nodiscard]] Awaitable<LeadershipChange> takeOver(LeaseRow previous)
     {
         const auto sent = BootClock {}.now();
-        m_self.epoch = epoch;
-        auto transaction = write(m_self, true);
+        // Grows with each attempt, so that a takeover without an answer leaves no two terms with one number.
+        m_self.epoch = std::max(m_self.epoch, previous.epoch) + 1;
+        auto transaction = write(m_self);
         RowCommit commit;
         try {
             commit = co_await m_store.commit(std::move(transaction), answerTimeout);
         } catch (const Error& error) {
-            logEvent("takeover_failed", { { "epoch", epoch }, { "reason", error.what() } });
+            logEvent("takeover_failed", { { "epoch", m_self.epoch }, { "reason", error.what() } });
             co_return LeadershipChange::none;
         }
         if (!commit.isCommitted)
             co_return LeadershipChange::none;
-        m_lease.held(this->epoch(), commit.version, sent);
-        m_epochVersion = commit.version;
+        m_lease.held(epoch(), commit.version, sent);
+        m_fenceVersion = 0;
         m_isLeading = true;
         m_isUncertain = false;
         logEvent("leadership_taken",
-            { { "epoch", epoch }, { "predecessor", previous.holder }, { "predecessor_epoch", previous.epoch } });
+            { { "epoch", m_self.epoch }, { "predecessor", previous.holder }, { "predecessor_epoch", previous.epoch } });
         co_return LeadershipChange::taken;
     }
 
@@ -207,7 +236,7 @@
     RowNames m_names;
     LeaseRow m_self;
     LeaderLease m_lease;
-    std::uint64_t m_epochVersion { 0 };
+    std::uint64_t m_fenceVersion { 0 };
     bool m_isLeading { false };
     bool m_isUncertain { false };
     bool m_isDown { false };
--- a/src/lycheespool/gateway/job_directory.h
+++ b/src/lycheespool/gateway/job_directory.h
@@ -42,10 +42,11 @@
      */
     void insert(const std::string& id, WorkloadState state, const std::string& queue, std::uint64_t version)
     {
-        auto& job = m_jobs[id];
-        if (version < job.version)
+        const auto [it, isNew] = m_jobs.try_emplace(id);
+        auto& job = it->second;
+        if (!isNew && version < job.version)
             return;
-        if (job.version > 0 && job.state == WorkloadState::pending)
+        if (!isNew && job.state == WorkloadState::pending)
             --m_pending[job.queue];
         job = { state, queue, version };
         if (state == WorkloadState::pending)
--- a/src/lycheespool/gateway/job_gateway.h
+++ b/src/lycheespool/gateway/job_gateway.h
@@ -48,6 +48,10 @@
     static constexpr Duration retryPause = std::chrono::milliseconds { 60 };
     /*! @brief Longest wait of a feed for changed states. */
     static constexpr Duration feedWait = std::chrono::milliseconds { 1000 };
+    /*! @brief Pause between two calls of a busy feed; delays the states that clients see. */
+    static constexpr Duration feedPause = std::chrono::milliseconds { 80 };
+    /*! @brief Time for which the store counts as slow after it exceeded attemptTimeout. */
+    static constexpr Duration slowMemory = std::chrono::seconds { 3 };
     /*! @brief States older than this are confirmed by a read before a job is denied. */
     static constexpr Duration freshness = std::chrono::milliseconds { 1500 };
 
@@ -81,13 +85,11 @@
         RowTransaction transaction;
         transaction.conditions.push_back({ m_names.job(id), 0 });
         transaction.writes.push_back({ m_names.job(id), packValue(row) });
-        transaction.writes.push_back(
-            { m_names.progress(id), JobProgress { row.request }.encode(row.queue, row.workspace) });
         bool isRepeated = false;
         const auto result = co_await write(transaction, deadline, [&](const RowCommit& commit) {
             isRepeated = !commit.isCommitted;
             if (commit.isCommitted)
-                m_directory.insert(id, WorkloadState::pending, row.queue, commit.version);
+                m_directory.insert(id, WorkloadState::pending, row.queue, 0);
         });
         const auto tookMs = std::chrono::duration<double, std::milli> { BootClock {}.now() - begun }.count();
         count(result, isRepeated, tookMs);
@@ -135,11 +137,20 @@
         if (known && (isFresh || isEnded(known->state)))
             co_return std::optional { known };
         RowRange range { std::string { RowNames::progressTable }, m_names.partition, id, id + '\0' };
+        const auto job = m_names.job(id);
+        RowRange intake { job.table, job.partition, job.key, job.key + '\0' };
         try {
             const auto list = co_await m_store.list(std::move(range), attemptTimeout);
-            if (list.rows.empty())
+            if (!list.rows.empty()) {
+                m_directory.update(id, list.rows.front().value, list.rows.front().version);
+                co_return std::optional { m_directory.find(id) };
+            }
+            // The leader has not taken the job in yet, or there is none.
+            const auto accepted = co_await m_store.list(std::move(intake), attemptTimeout);
+            if (accepted.rows.empty())
                 co_return std::optional<std::optional<JobSummary>> { std::optional<JobSummary> {} };
-            m_directory.update(id, list.rows.front().value, list.rows.front().version);
+            const auto row = unpackValue<JobRow>(accepted.rows.front().value);
+            m_directory.insert(id, WorkloadState::pending, row.queue, 0);
             co_return std::optional { m_directory.find(id) };
         } catch (const Error& error) {
             logEvent(
@@ -212,13 +223,17 @@
             if (left < 2 * retryPause)
                 co_return mayHappen ? GatewayResult::unknown : GatewayResult::rejected;
             auto attempt = transaction;
-            const auto timeout = std::min<Duration>(attemptTimeout, left - retryPause);
+            // A slow store answers after seconds; asking again before that only fills its queue.
+            const bool isSlow = mayHappen || BootClock {}.now() < m_slowUntil;
+            const auto timeout = isSlow ? left - retryPause : std::min<Duration>(attemptTimeout, left - retryPause);
             std::optional<RowCommit> commit;
             try {
                 commit = co_await m_store.commit(std::move(attempt), timeout);
             } catch (const Error& error) {
                 const bool isDefinite = error.kind() == ErrorKind::unavailable || error.kind() == ErrorKind::overloaded;
                 mayHappen = mayHappen || !isDefinite;
+                if (!isDefinite)
+                    m_slowUntil = BootClock {}.now() + slowMemory;
                 ++refusals;
                 logEvent("store_write_failed",
                     { { "row", transaction.writes.front().name.key }, { "reason", error.what() },
@@ -258,6 +273,13 @@
             for (const auto& it : changes.rows)
                 takeIn(it);
             m_version = std::max(m_version, changes.version);
+            if (changes.rows.empty()) {
+                // The store waited before it answered that nothing had changed.
+                m_confirmedAt = sent + feedWait;
+                co_return;
+            }
+            // Each change of any job ends the wait of all entries, so that the calls are spaced out.
+            co_await sleepFor(feedPause);
         }
         m_confirmedAt = sent;
     }
@@ -282,6 +304,7 @@
     bool m_isListed { false };
     bool m_isDown { false };
     TimePoint m_confirmedAt { -std::chrono::hours { 24 } };
+    TimePoint m_slowUntil { -std::chrono::hours { 24 } };
     Counter& m_accepted;
     Counter& m_repeated;
     Counter& m_rejected;
--- a/src/lycheespool/nodeagent/leader_finder.h
+++ b/src/lycheespool/nodeagent/leader_finder.h
@@ -46,7 +46,7 @@
      */
     [[nodiscard]] Awaitable<std::optional<Address>> find()
     {
-        RowRange range { std::string { RowNames::controlTable }, m_names.partition, {}, {} };
+        RowRange range { std::string { RowNames::controlTable }, m_names.leasePartition(), {}, {} };
         try {
             const auto list = co_await m_store.list(std::move(range), answerTimeout);
             if (std::exchange(m_isDown, false))
