--- a/src/lycheespool/dispatch/start_planner.cpp
+++ b/src/lycheespool/dispatch/start_planner.cpp
@@ -83,7 +83,10 @@
 {
     std::vector<std::size_t> order(m_nodes.size());
     std::iota(order.begin(), order.end(), std::size_t { 0 });
-    std::ranges::stable_sort(order, {}, [&](std::size_t it) { return leftover(m_nodes[it], request.perTask); });
+    // A reservation takes the emptiest executors instead, which are free the soonest.
+    const double direction = scope.whenEmpty ? -1 : 1;
+    std::ranges::stable_sort(
+        order, {}, [&](std::size_t it) { return direction * leftover(m_nodes[it], request.perTask); });
     Places places;
     for (const auto node : order) {
         const auto copies = copiesOn(request, node, scope);
--- a/src/lycheespool/nodeagent/node_agent.h
+++ b/src/lycheespool/nodeagent/node_agent.h
@@ -52,7 +52,7 @@
     static constexpr Duration decisionAge = std::chrono::milliseconds { 2500 };
     /*! @brief Longest time for the attempts to carry out one order. */
     static constexpr Duration orderTime = std::chrono::milliseconds { 1500 };
-    /*! @brief Pause before a call is sent again that the executor turned away unharmed. */
+    /*! @brief First pause before a call is sent again; it doubles with each attempt. */
     static constexpr Duration orderPause = std::chrono::milliseconds { 100 };
 
     /**
@@ -389,6 +389,8 @@
             return "epoch";
         if (m_executorState.state != ExecutorState::ready)
             return "draining";
+        if (m_isExecutorSilent)
+            return "unreachable";
         const auto age = std::chrono::milliseconds { clockMs(now) - batch.basedOnMs };
         if (age > decisionAge || !m_leaseClock.isPermitted(now))
             return "expired";
@@ -399,6 +401,7 @@
     {
         const auto begun = BootClock {}.now();
         auto now = begun;
+        auto pause = orderPause;
         std::string obstacle = startObstacle(batch, now);
         while (obstacle.empty() && now - begun < orderTime) {
             RunStart start { batch.lifetime, batch.epoch.value(), order.task, order.run, order.payload,
@@ -418,7 +421,7 @@
                 break;
             }
             if (answer.kind == ExecutorAnswerKind::unavailable)
-                co_await sleepFor(orderPause);
+                co_await sleepFor(std::exchange(pause, 2 * pause));
             obstacle = startObstacle(batch, now);
         }
         if (obstacle.empty())
@@ -430,6 +433,7 @@
     [[nodiscard]] Awaitable<RunOrderOutcome> stopRun(RunOrder order, NodeOrders batch, std::string reason)
     {
         const auto begun = BootClock {}.now();
+        auto pause = orderPause;
         while (BootClock {}.now() - begun < orderTime) {
             RunStop stop { batch.lifetime, batch.epoch.value(), order.task, order.run };
             const auto answer = co_await m_control.stop(std::move(stop), executorTimeout);
@@ -439,7 +443,10 @@
                 co_return RunOrderOutcome { {}, 0, RunOrderResult::wrongLifetime, reason, 0 };
             if (answer.kind == ExecutorAnswerKind::refused)
                 co_return RunOrderOutcome { {}, 0, RunOrderResult::unresolved, answer.reason, 0 };
-            co_await sleepFor(orderPause);
+            // The leader repeats the order once the executor answers its agent again.
+            if (m_isExecutorSilent)
+                break;
+            co_await sleepFor(std::exchange(pause, 2 * pause));
         }
         co_return RunOrderOutcome { {}, 0, RunOrderResult::unresolved, reason, 0 };
     }
