--- a/src/lycheespool/controller/controller_planning.cpp
+++ b/src/lycheespool/controller/controller_planning.cpp
@@ -20,7 +20,7 @@
 // Guaranteed gangs wait this long for a single rack; they must start within a reclaim bound of about 2.7 s.
 constexpr std::int64_t guaranteedRackWaitMs = 1000;
 // Stopping work of priority 0 costs its caller more than stopping other work.
-constexpr double urgentEvictionFactor = 4;
+constexpr double urgentEvictionFactor = 20;
 
 double coresOf(const ResourceVector& amount)
 {
--- a/src/lycheespool/dispatch/start_planner.h
+++ b/src/lycheespool/dispatch/start_planner.h
@@ -21,7 +21,7 @@
 class StartPlanner {
 public:
     /*! @brief Requests without room that hold a reservation at a time; more would leave too much capacity idle. */
-    static constexpr std::size_t maxReservations = 8;
+    static constexpr std::size_t maxReservations = 4;
 
     /**
      * @brief Makes a planner.
