--- a/src/lycheespool/controller/controller_jobs.cpp
+++ b/src/lycheespool/controller/controller_jobs.cpp
@@ -128,8 +128,7 @@
             { "age_ms", now.unixMs - job.row.acceptedUnixMs }, { "config_version", m_config->version } });
     const RunKey first { { job.id, {} }, 0 };
     for (auto it = m_runs.lower_bound(first); it != m_runs.end() && it->first.task.job == job.id; ++it) {
-        if (!it->second.isStopping())
-            it->second.stopReason = "job " + std::string { stateName(state) };
+        stopRun(it->first, "job " + std::string { stateName(state) });
     }
 }
 
--- a/src/lycheespool/controller/controller_runs.cpp
+++ b/src/lycheespool/controller/controller_runs.cpp
@@ -66,15 +66,17 @@
     node.rack = rackOf(report.labels);
     node.capacity = report.capacity;
     node.heardAt = now.steady;
-    node.newestReportMs = report.sentAtMs;
-    node.listedAtMs = report.listedAtMs;
+    // Lists that another connection delayed say nothing about runs that newer ones show.
+    const bool isOutdated = report.listedAtMs < node.listedAtMs;
+    node.newestReportMs = std::max(node.newestReportMs, report.sentAtMs);
+    node.listedAtMs = std::max(node.listedAtMs, report.listedAtMs);
     if (report.state == ExecutorState::departed || report.state == ExecutorState::absent) {
         // A departed executor ends at once and takes everything that it runs with it.
         if (report.state == ExecutorState::departed)
             loseLifetime(report.node, {}, "the executor departed");
         return;
     }
-    if (report.listedAtMs == 0)
+    if (report.listedAtMs == 0 || isOutdated)
         return;
     for (const auto& it : report.ended) {
         if (it.number > node.endsApplied)
@@ -105,7 +107,7 @@
         if (run.phase != RunPhase::confirmed) {
             run.phase = RunPhase::confirmed;
             run.confirmedAt = now.steady;
-            run.answeredAtMs = 0;
+            run.answeredAtMs = report.listedAtMs;
         }
         if (it.percent != run.percent || run.percentListedMs == 0) {
             run.percent = it.percent;
--- a/src/lycheespool/nodeagent/node_agent.h
+++ b/src/lycheespool/nodeagent/node_agent.h
@@ -139,12 +139,12 @@
             m_executor, [self, loop]() -> Awaitable<> { co_await ((*self).*loop)(); }, asio::detached);
     }
 
-    [[nodiscard]] static std::uint64_t clockMs(TimePoint now)
+    /*! @brief Clock for the leader: counts suspensions, and goes on over a restart of the VM, whose boot clock starts
+     * at 0. */
+    [[nodiscard]] std::uint64_t clockMs(TimePoint now) const
     {
-        // Starts above zero, since zero stands for no time in reports.
         return static_cast<std::uint64_t>(
-                   std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count())
-            + 1;
+            m_startUnixMs + std::chrono::duration_cast<std::chrono::milliseconds>(now - m_startedAt).count());
     }
 
     void forgetLists()
@@ -452,6 +452,8 @@
     }
 
     asio::any_io_executor m_executor;
+    TimePoint m_startedAt { BootClock {}.now() };
+    std::int64_t m_startUnixMs { unixMillis() };
     NodeSettings m_settings;
     Control& m_control;
     Metrics& m_metrics;
--- /dev/null
+++ b/test/lycheespool/controller/controller.cpp
@@ -0,0 +1,267 @@
+#include "lycheespool/controller/controller.h"
+
+#include <doctest/doctest.h>
+
+using namespace lycheespool;
+
+namespace {
+
+/*! @brief A controller with one executor, driven by hand. */
+class Fixture {
+public:
+    Fixture()
+        : controller { ControllerSettings {}, Epoch { 1 }, at(0).steady, metrics }
+    {
+        controller.setConfig(std::make_shared<const OperatorConfig>());
+    }
+
+    static Moment at(std::int64_t ms) { return { TimePoint { std::chrono::milliseconds { ms } }, ms }; }
+
+    static JobRow job(std::uint32_t tasks = 1, bool isGang = false)
+    {
+        JobRow row;
+        row.queue = "queue";
+        row.policy = { "service", 1, 2, 3.0, 1000 };
+        StepSpec step;
+        step.tasks = tasks;
+        step.isGang = isGang;
+        step.perTask = { 1000, 1000, 1 };
+        step.estimatedMs = 2000;
+        row.request.steps.push_back(step);
+        return row;
+    }
+
+    NodeReport report(std::int64_t ms, const std::string& node = "node-0") const
+    {
+        NodeReport report;
+        report.node = node;
+        report.zone = "zone-a";
+        report.state = ExecutorState::ready;
+        report.lifetime = { "executor of " + node, 1 };
+        report.service = "service";
+        report.labels = { "a", "rack-0" };
+        report.capacity = { 64000, 131072, 8 };
+        report.sentAtMs = static_cast<std::uint64_t>(ms);
+        report.listedAtMs = static_cast<std::uint64_t>(ms);
+        return report;
+    }
+
+    void hear(const NodeReport& it, std::int64_t ms)
+    {
+        controller.onReport(it, at(ms));
+        controller.grantPermit(it.node, at(ms).steady);
+    }
+
+    void storeAll()
+    {
+        for (const auto& it : controller.dirty(100))
+            controller.stored(it, ++version);
+    }
+
+    /*! @brief Submits a job of one task and gives its started run. */
+    RunningTask startOne(std::int64_t ms)
+    {
+        controller.addJob("job", job(), {}, 0, at(ms).steady);
+        hear(report(ms), ms);
+        (void)controller.plan(at(ms));
+        storeAll();
+        const auto orders = controller.takeOrders(at(ms)).at("node-0");
+        const auto& order = orders.orders.at(0);
+        controller.onOutcome("node-0", orders.lifetime,
+            { order.task, order.run, RunOrderResult::started, {}, static_cast<std::uint64_t>(ms + 5) }, at(ms + 5));
+        return { order.task, order.run, {}, 0 };
+    }
+
+    Metrics metrics;
+    Controller controller;
+    std::uint64_t version { 0 };
+};
+
+}
+
+TEST_CASE("a run is ordered only after its placement is stored")
+{
+    Fixture f;
+    f.controller.addJob("job", Fixture::job(), {}, 0, Fixture::at(0).steady);
+    f.hear(f.report(10), 10);
+    (void)f.controller.plan(Fixture::at(10));
+    CHECK(f.controller.takeOrders(Fixture::at(11)).empty());
+    f.storeAll();
+    CHECK(f.controller.takeOrders(Fixture::at(12)).size() == 1);
+}
+
+TEST_CASE("an end is acknowledged only after it is stored")
+{
+    Fixture f;
+    const auto run = f.startOne(10);
+    auto report = f.report(100);
+    report.ended = { { 1, run.task, run.run, RunEndKind::done, {} } };
+    f.hear(report, 101);
+    CHECK(f.controller.endsStored("node-0") == 0);
+    f.storeAll();
+    CHECK(f.controller.endsStored("node-0") == 1);
+    CHECK(f.controller.jobs().at("job").progress.state == WorkloadState::completed);
+}
+
+TEST_CASE("a run that an older list does not show yet is not released")
+{
+    Fixture f;
+    const auto run = f.startOne(10);
+    auto newer = f.report(100);
+    newer.running = { run };
+    f.hear(newer, 101);
+    f.hear(f.report(12), 102);
+    CHECK(f.controller.liveRuns().size() == 1);
+}
+
+TEST_CASE("an executor that does not answer its agent is not blamed for a task without progress")
+{
+    Fixture f;
+    const auto run = f.startOne(10);
+    auto report = f.report(100);
+    report.running = { run };
+    report.running[0].percent = 10;
+    for (std::int64_t ms = 100; ms < 8000; ms += 500) {
+        report.sentAtMs = static_cast<std::uint64_t>(ms);
+        f.hear(report, ms);
+        f.controller.expire(Fixture::at(ms));
+    }
+    CHECK_FALSE(f.controller.liveRuns().begin()->second.isStopping());
+}
+
+TEST_CASE("a task that makes no progress from list to list is stopped")
+{
+    Fixture f;
+    const auto run = f.startOne(10);
+    for (std::int64_t ms = 100; ms < 12000; ms += 500) {
+        auto report = f.report(ms);
+        report.running = { run };
+        report.running[0].percent = 10;
+        f.hear(report, ms);
+        f.controller.expire(Fixture::at(ms));
+    }
+    CHECK(f.controller.liveRuns().begin()->second.isStopping());
+}
+
+TEST_CASE("an executor whose lists are old gets no new task")
+{
+    Fixture f;
+    f.controller.addJob("job", Fixture::job(), {}, 0, Fixture::at(0).steady);
+    auto report = f.report(100);
+    report.sentAtMs = 9000;
+    f.hear(report, 9000);
+    (void)f.controller.plan(Fixture::at(9000));
+    CHECK(f.controller.liveRuns().empty());
+}
+
+TEST_CASE("tasks of a node that fell silent start elsewhere only after its permits have run out")
+{
+    Fixture f;
+    (void)f.startOne(10);
+    const ControllerSettings settings;
+    const auto safe = std::chrono::duration_cast<std::chrono::milliseconds>(settings.permitEnd()).count();
+    const auto grace = std::chrono::duration_cast<std::chrono::milliseconds>(settings.passiveGrace).count();
+    f.controller.expire(Fixture::at(10 + safe - 1));
+    CHECK(f.controller.liveRuns().size() == 1);
+    f.controller.expire(Fixture::at(20 + safe + grace));
+    CHECK(f.controller.liveRuns().empty());
+}
+
+TEST_CASE("a zone that is out of service and a draining executor get no task")
+{
+    Fixture f;
+    f.controller.addJob("job", Fixture::job(), {}, 0, Fixture::at(0).steady);
+    f.controller.setZonesOut({ "zone-a" });
+    f.hear(f.report(10), 10);
+    (void)f.controller.plan(Fixture::at(10));
+    CHECK(f.controller.liveRuns().empty());
+    f.controller.setZonesOut({});
+    auto draining = f.report(20);
+    draining.state = ExecutorState::draining;
+    f.hear(draining, 20);
+    (void)f.controller.plan(Fixture::at(20));
+    CHECK(f.controller.liveRuns().empty());
+}
+
+TEST_CASE("a start that waited for its storage is not sent to a zone that was taken out meanwhile")
+{
+    Fixture f;
+    f.controller.addJob("job", Fixture::job(), {}, 0, Fixture::at(0).steady);
+    f.hear(f.report(10), 10);
+    (void)f.controller.plan(Fixture::at(10));
+    f.storeAll();
+    f.controller.setZonesOut({ "zone-a" });
+    CHECK(f.controller.takeOrders(Fixture::at(20)).empty());
+}
+
+TEST_CASE("a run that the leader did not order is stopped")
+{
+    Fixture f;
+    auto report = f.report(10);
+    report.running = { { "unknown.0.0.0", 4, {}, 50 } };
+    f.hear(report, 10);
+    const auto orders = f.controller.takeOrders(Fixture::at(11));
+    REQUIRE(orders.size() == 1);
+    CHECK_FALSE(orders.at("node-0").orders.at(0).isStart);
+    CHECK(f.controller.takeOrders(Fixture::at(12)).empty());
+}
+
+TEST_CASE("a job fails when a task failed as often as its queue allows, and not before")
+{
+    Fixture f;
+    auto run = f.startOne(10);
+    for (std::int64_t attempt = 1; attempt <= 2; ++attempt) {
+        const auto ms = attempt * 1000;
+        auto report = f.report(ms);
+        report.ended = { { static_cast<std::uint64_t>(attempt), run.task, run.run, RunEndKind::failed, {} } };
+        f.hear(report, ms);
+        const auto state = f.controller.jobs().at("job").progress.state;
+        CHECK((state == WorkloadState::failed) == (attempt == 2));
+        (void)f.controller.plan(Fixture::at(ms));
+        f.storeAll();
+        (void)f.controller.takeOrders(Fixture::at(ms));
+        ++run.run;
+    }
+    CHECK(f.controller.liveRuns().empty());
+}
+
+TEST_CASE("a cancelled job starts nothing and its runs are stopped")
+{
+    Fixture f;
+    (void)f.startOne(10);
+    f.controller.cancelJob("job", Fixture::at(100));
+    CHECK(f.controller.jobs().at("job").progress.state == WorkloadState::cancelled);
+    CHECK_FALSE(f.controller.takeOrders(Fixture::at(101)).at("node-0").orders.at(0).isStart);
+    (void)f.controller.plan(Fixture::at(200));
+    CHECK(f.controller.liveRuns().size() == 1);
+}
+
+TEST_CASE("a scheduled occurrence does not start before it is due")
+{
+    Fixture f;
+    auto row = Fixture::job();
+    row.request.occurrences = 2;
+    row.request.firstDueUnixMs = 500;
+    row.request.intervalMs = 1000;
+    f.controller.addJob("job", row, {}, 0, Fixture::at(0).steady);
+    f.hear(f.report(400), 400);
+    CHECK(f.controller.plan(Fixture::at(499)) == 500);
+    CHECK(f.controller.liveRuns().empty());
+    CHECK(f.controller.plan(Fixture::at(500)) == 1500);
+    CHECK(f.controller.liveRuns().size() == 1);
+}
+
+TEST_CASE("a successor takes over the runs that the rows name and does not start them twice")
+{
+    Fixture f;
+    (void)f.startOne(10);
+    const auto writes = f.controller.jobs().at("job").progress.encode("queue", "");
+    Metrics metrics;
+    Controller successor { ControllerSettings {}, Epoch { 2 }, Fixture::at(5000).steady, metrics };
+    successor.setConfig(std::make_shared<const OperatorConfig>());
+    successor.addJob("job", Fixture::job(), writes, 7, Fixture::at(5000).steady);
+    CHECK(successor.liveRuns().size() == 1);
+    successor.onReport(f.report(5000), Fixture::at(5000));
+    (void)successor.plan(Fixture::at(5001));
+    CHECK(successor.liveRuns().size() == 1);
+}
--- /dev/null
+++ b/test/lycheespool/controller/heavy_load.cpp
@@ -0,0 +1,98 @@
+#include "lycheespool/controller/cluster_simulation.h"
+
+#include <doctest/doctest.h>
+
+using namespace lycheespool;
+
+namespace {
+
+/*! @brief One class of a day's jobs and what an answer is worth to its callers. */
+struct LoadClass {
+    std::uint32_t priority;
+    double perSecond;
+    std::int64_t workMs;
+    ResourceVector perTask;
+    std::uint32_t maxTasks;
+    bool isGang;
+    double stretch;
+    std::int64_t targetMs;
+    double worth;
+    double lateWorth;
+};
+
+constexpr std::size_t nodeCount = 11;
+constexpr std::int64_t dayMs = 34000;
+constexpr std::int64_t finishMs = 14000;
+
+// A day at about the capacity of 11 executors: long gangs that fill an executor's memory, short urgent gangs with a
+// burst of them, and wide cheap work.
+const std::vector<LoadClass> heavyDay {
+    { 1, 0.60, 8500, { 26000, 68000, 4 }, 3, true, 3.0, 1000, 3.0, 0.3 },
+    { 0, 0.90, 2500, { 7500, 20000, 4 }, 6, true, 1.5, 250, 4.0, 0.8 },
+    { 2, 0.40, 9500, { 5600, 11000, 1 }, 18, false, 3.0, 3000, 1.0, 0.1 },
+};
+
+/*! @brief Plays the day and gives the share of the worth that its callers get. */
+double playDay(std::uint64_t seed, bool isOrdered)
+{
+    std::mt19937_64 random { seed };
+    ClusterSimulation simulation { seed, nodeCount, {} };
+    std::map<std::string, const LoadClass*> classes;
+    int next = 0;
+    while (simulation.nowMs() < dayMs) {
+        for (const auto& it : heavyDay) {
+            const bool isBurst = it.priority == 0 && simulation.nowMs() > 8000 && simulation.nowMs() < 14000;
+            const auto chance = it.perSecond * (isBurst ? 2.4 : 1.0) / 10;
+            if (!std::bernoulli_distribution { chance }(random))
+                continue;
+            JobRow row;
+            row.queue = "queue";
+            row.workspace = it.priority == 0 ? "guaranteed" : "other";
+            // The plain rule treats all work alike, which orders it by age.
+            row.policy = isOrdered ? QueuePolicy { "service", it.priority, 4, it.stretch, it.targetMs }
+                                   : QueuePolicy { "service", 1, 4, 100.0, 0 };
+            StepSpec step;
+            step.tasks = std::uniform_int_distribution<std::uint32_t> { 1, it.maxTasks }(random);
+            step.perTask = it.perTask;
+            step.isGang = it.isGang;
+            step.estimatedMs
+                = static_cast<std::uint32_t>(it.workMs * std::uniform_int_distribution<int> { 50, 150 }(random) / 100);
+            row.request.steps.push_back(step);
+            const auto id = "job-" + std::to_string(next++);
+            classes[id] = &it;
+            simulation.submit(id, std::move(row), it.workMs);
+        }
+        simulation.runUntil(simulation.nowMs() + 100);
+    }
+    simulation.runUntil(dayMs + finishMs);
+    CHECK(simulation.violations().empty());
+    double earned = 0;
+    double owed = 0;
+    for (const auto& [id, job] : simulation.jobs()) {
+        const auto& load = *classes.at(id);
+        const auto objective
+            = static_cast<std::int64_t>(load.stretch * static_cast<double>(load.workMs)) + load.targetMs;
+        const auto took = job.endedMs < 0 ? std::numeric_limits<std::int64_t>::max() : job.endedMs - job.submittedMs;
+        owed += load.worth;
+        if (took <= objective)
+            earned += load.worth;
+        else if (took <= 3 * objective)
+            earned += load.worth * load.lateWorth;
+    }
+    return earned / owed;
+}
+
+}
+
+TEST_CASE("on a heavy day callers get more from the order by priority and slack than from the order by age")
+{
+    double ordered = 0;
+    double plain = 0;
+    constexpr std::uint64_t days = 8;
+    for (std::uint64_t seed = 1; seed <= days; ++seed) {
+        ordered += playDay(seed, true) / days;
+        plain += playDay(seed, false) / days;
+    }
+    MESSAGE("share of the worth: ordered " << ordered << ", by age " << plain);
+    CHECK(ordered > plain);
+}
--- /dev/null
+++ b/test/lycheespool/gateway/job_gateway.cpp
@@ -0,0 +1,147 @@
+#include "lycheespool/gateway/job_gateway.h"
+
+#include "lycheespool/gateway/access.h"
+#include "lycheespool/store/fake_row_store.h"
+
+#include <doctest/doctest.h>
+
+using namespace lycheespool;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct Fixture {
+    FakeRows rows;
+    FakeRowStore firstStore { rows };
+    FakeRowStore secondStore { rows };
+    Metrics metrics;
+    JobGateway<FakeRowStore> first { firstStore, RowNames {}, metrics };
+    JobGateway<FakeRowStore> second { secondStore, RowNames {}, metrics };
+
+    static JobRow job()
+    {
+        JobRow row;
+        row.queue = "queue";
+        row.workspace = "workspace";
+        row.request.steps.resize(1);
+        return row;
+    }
+
+    static TimePoint soon() { return BootClock {}.now() + 500ms; }
+
+    [[nodiscard]] std::size_t storedJobs() const
+    {
+        return static_cast<std::size_t>(
+            std::ranges::count_if(rows.rows, [](const auto& it) { return it.first.key.starts_with("job/"); }));
+    }
+};
+
+}
+
+TEST_CASE("a job that arrives twice at two entries stays one and is accepted both times")
+{
+    Fixture f;
+    CHECK(await(f.first.submit("id", Fixture::job(), Fixture::soon())) == GatewayResult::accepted);
+    CHECK(await(f.second.submit("id", Fixture::job(), Fixture::soon())) == GatewayResult::accepted);
+    CHECK(f.storedJobs() == 1);
+    CHECK(f.first.pendingIn("queue") == 1);
+}
+
+TEST_CASE("a submission whose answer was lost is settled by a second attempt")
+{
+    Fixture f;
+    f.firstStore.loseAnswers = 1;
+    CHECK(await(f.first.submit("id", Fixture::job(), Fixture::soon())) == GatewayResult::accepted);
+    CHECK(f.storedJobs() == 1);
+}
+
+TEST_CASE("a submission that may still be stored is never called rejected")
+{
+    Fixture f;
+    f.firstStore.delayCommits = 100;
+    CHECK(await(f.first.submit("id", Fixture::job(), Fixture::soon())) == GatewayResult::unknown);
+    f.firstStore.applyLate();
+    CHECK(f.storedJobs() == 1);
+}
+
+TEST_CASE("a submission stays unknown when the store refuses after an attempt without an answer")
+{
+    Fixture f;
+    f.firstStore.delayCommits = 1;
+    asio::io_context context;
+    std::optional<GatewayResult> result;
+    asio::co_spawn(context, f.first.submit("id", Fixture::job(), Fixture::soon()),
+        [&](std::exception_ptr, GatewayResult it) { result = it; });
+    context.run_one();
+    f.firstStore.isRefusing = true;
+    context.run();
+    CHECK(result == GatewayResult::unknown);
+}
+
+TEST_CASE("a store that refuses makes a rejection at once, and nothing is stored")
+{
+    Fixture f;
+    f.firstStore.isRefusing = true;
+    const auto begun = BootClock {}.now();
+    CHECK(await(f.first.submit("id", Fixture::job(), begun + 60s)) == GatewayResult::rejected);
+    CHECK(BootClock {}.now() - begun < 30s);
+    CHECK(f.firstStore.commits == 2);
+    CHECK(f.storedJobs() == 0);
+}
+
+TEST_CASE("a job is known at every entry before the leader has taken it in")
+{
+    Fixture f;
+    CHECK(await(f.first.submit("id", Fixture::job(), Fixture::soon())) == GatewayResult::accepted);
+    const auto found = await(f.second.find("id"));
+    REQUIRE(found);
+    REQUIRE(*found);
+    CHECK((*found)->state == WorkloadState::pending);
+}
+
+TEST_CASE("a job is denied only when the store says that there is none")
+{
+    Fixture f;
+    const auto none = await(f.first.find("id"));
+    REQUIRE(none);
+    CHECK_FALSE(*none);
+    f.firstStore.isRefusing = true;
+    CHECK_FALSE(await(f.first.find("id")));
+}
+
+TEST_CASE("an unknown job cannot be cancelled, and a cancellation is stored before it is acknowledged")
+{
+    Fixture f;
+    CHECK(await(f.first.cancel("id", Fixture::soon())) == GatewayResult::notFound);
+    (void)await(f.first.submit("id", Fixture::job(), Fixture::soon()));
+    CHECK(await(f.second.cancel("id", Fixture::soon())) == GatewayResult::accepted);
+    CHECK(f.rows.rows.contains(RowNames {}.cancel("id")));
+}
+
+TEST_CASE("the number of waiting jobs follows changes of their state")
+{
+    JobDirectory directory;
+    directory.insert("a", WorkloadState::pending, "queue", 0);
+    directory.insert("a", WorkloadState::pending, "queue", 5);
+    directory.insert("b", WorkloadState::pending, "queue", 6);
+    CHECK(directory.pendingIn("queue") == 2);
+    directory.insert("a", WorkloadState::running, "queue", 7);
+    directory.insert("a", WorkloadState::pending, "queue", 6);
+    CHECK(directory.pendingIn("queue") == 1);
+    CHECK(directory.find("a")->state == WorkloadState::running);
+    directory.remove("b");
+    CHECK(directory.pendingIn("queue") == 0);
+}
+
+TEST_CASE("the longest prefix selects the queue, and a key is needed unless the queue is open")
+{
+    OperatorConfig config;
+    config.queues.push_back({ "outer", "host", "/a/", {}, true });
+    config.queues.push_back({ "inner", "host", "/a/b/", {}, false });
+    config.workspaces.push_back({ "team", { "key" }, 0 });
+    CHECK(checkAccess(config, "host", "/a/b/1", "key").queue->name == "inner");
+    CHECK(checkAccess(config, "host", "/a/1", "").verdict == AccessVerdict::allowed);
+    CHECK(checkAccess(config, "host", "/a/b/1", "").verdict == AccessVerdict::unknownKey);
+    CHECK(checkAccess(config, "host", "/a/b/1", "other").verdict == AccessVerdict::unknownKey);
+    CHECK(checkAccess(config, "other", "/a/b/1", "key").verdict == AccessVerdict::noQueue);
+}
--- /dev/null
+++ b/test/lycheespool/workload/job_model.cpp
@@ -0,0 +1,112 @@
+#include "lycheespool/core/error.h"
+#include "lycheespool/workload/job_progress.h"
+#include "lycheespool/workload/job_request.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+using namespace lycheespool;
+
+namespace {
+
+JobRequest twoSteps()
+{
+    JobRequest request;
+    request.steps.resize(2);
+    request.steps[0].tasks = 3;
+    request.steps[1].tasks = 2;
+    request.steps[1].after = { 0 };
+    return request;
+}
+
+}
+
+TEST_CASE("a job that could never run or never end is refused with a reason")
+{
+    CHECK_FALSE(findFault(twoSteps()));
+    CHECK(findFault(JobRequest {}));
+    auto empty = twoSteps();
+    empty.steps[0].tasks = 0;
+    CHECK(findFault(empty));
+    auto cycle = twoSteps();
+    cycle.steps[0].after = { 1 };
+    CHECK(findFault(cycle));
+    auto itself = twoSteps();
+    itself.steps[1].after = { 1 };
+    CHECK(findFault(itself));
+    auto huge = twoSteps();
+    huge.steps[0].tasks = 4'000'000'000U;
+    huge.occurrences = 4'000'000'000U;
+    CHECK(findFault(huge));
+    auto negative = twoSteps();
+    negative.steps[0].perTask.memoryMiB = -1;
+    CHECK(findFault(negative));
+}
+
+TEST_CASE("a task name survives its text form, and other texts are no task names")
+{
+    CHECK(rc::check("round trip", [](std::uint32_t k, std::uint32_t s, std::uint32_t i) {
+        const TaskName name { "5c0e7a21d94b36f8", { k, s, i } };
+        RC_ASSERT(parseTaskName(name.toString()) == name);
+    }));
+    for (const auto* const text : { "", "a", "a.1.2", ".0.0.0", "a.0.0.x", "a.0.0.", "a.0.-1.0", "a.0.0.99999999999" })
+        CHECK_FALSE(parseTaskName(text));
+}
+
+TEST_CASE("progress survives its row, so that a successor finds every run that may exist")
+{
+    CHECK(rc::check("round trip", [](std::vector<bool> done, std::uint64_t run) {
+        const auto request = twoSteps();
+        JobProgress progress { request };
+        progress.state = WorkloadState::running;
+        std::size_t i = 0;
+        progress.forEach([&](const TaskPosition& position, TaskProgress& task) {
+            task.done = i < done.size() && done[i];
+            if (++i % 2 == 0) {
+                task.lastRun = run + 1;
+                task.placements.push_back({ { "i-1", 17 }, "node-1", run + 1 });
+                task.checkpoint = "00ab";
+                task.failures = position.index;
+            }
+        });
+        const auto bytes = progress.encode("q", "w");
+        auto copy = JobProgress::decode(request, bytes);
+        RC_ASSERT(copy.encode("q", "w") == bytes);
+        RC_ASSERT(copy.state == WorkloadState::running);
+        progress.forEach([&](const TaskPosition& position, const TaskProgress& task) {
+            RC_ASSERT(copy.at(position).done == task.done);
+            RC_ASSERT(copy.at(position).placements.size() == task.placements.size());
+        });
+        const auto head = JobProgress::decodeHead(bytes);
+        RC_ASSERT(head.queue == "q");
+        RC_ASSERT(head.workspace == "w");
+    }));
+}
+
+TEST_CASE("a row that cannot be read is an error and no empty job")
+{
+    CHECK_THROWS_AS((void)JobProgress::decode(twoSteps(), "not a row"), Error);
+    CHECK_THROWS_AS((void)JobProgress::decodeHead(""), Error);
+    CHECK_THROWS_AS((void)unpackValue<JobRow>("\xc1"), Error);
+}
+
+TEST_CASE("the largest job fits into a row of 64 KiB")
+{
+    JobRequest request;
+    request.steps.resize(1);
+    request.steps[0].tasks = maxTasksPerJob;
+    JobProgress progress { request };
+    progress.state = WorkloadState::running;
+    std::uint32_t live = 0;
+    progress.forEach([&](const TaskPosition&, TaskProgress& task) {
+        task.done = true;
+        // A whole deployment of 17,000 workers is not held by one job; 500 live runs of it are plenty.
+        if (++live <= 500) {
+            task.done = false;
+            task.lastRun = 3;
+            task.checkpoint = "00000bb87a21d94b";
+            task.placements.push_back({ { "i-7f3a91c2", 1'780'000'000'000 }, "side-limon-a-12", 3 });
+        }
+    });
+    CHECK(progress.encode("r-3ajwyy7", "kaje80").size() < 64 * 1024);
+}
--- /dev/null
+++ b/test/platform/codecs.cpp
@@ -0,0 +1,112 @@
+#include "platform/executor_api.h"
+#include "platform/job_codec.h"
+#include "platform/operator_codec.h"
+#include "platform/settings.h"
+
+#include "lycheespool/core/error.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+using namespace lycheespool;
+using namespace lycheespool::platform;
+
+TEST_CASE("a job is decoded with all its fields, and absent fields are zero")
+{
+    const auto job = decodeJob(R"({"spec":"text","steps":[{"count":4,"cpu":500,"memMb":256,"estimatedMs":900,
+        "dataRack":"r1-3"},{"count":20,"cpu":2000,"memMb":1024,"gpu":2,"after":[0],"checkpointing":true,"gang":true,
+        "sameRack":true,"requires":"a","antiAffinity":3}],"maxRuns":2,"initialDelayMs":1780000000000,"intervalMs":50,
+        "unknown":{}})");
+    CHECK(job.payload == "text");
+    REQUIRE(job.steps.size() == 2);
+    CHECK(job.steps[0].dataRack == "r1-3");
+    CHECK(job.steps[0].perTask == ResourceVector { 500, 256, 0 });
+    CHECK_FALSE(job.steps[0].isGang);
+    CHECK(job.steps[1].isGang);
+    CHECK(job.steps[1].prefersOneRack);
+    CHECK(job.steps[1].savesCheckpoints);
+    CHECK(job.steps[1].requiredLabel == "a");
+    CHECK(job.steps[1].maxPerExecutor == 3);
+    CHECK(job.occurrences == 2);
+    CHECK(job.firstDueUnixMs == 1780000000000);
+}
+
+TEST_CASE("unreadable jobs are errors of the caller and end no process")
+{
+    for (const auto* const body : { "", "[]", "{}", "{\"steps\":3}", "{\"steps\":[{\"count\":-1}]}",
+             "{\"steps\":[{\"count\":\"x\"}]}", "{\"steps\":[{\"count\":99999999999}]}", "\xff\xfe" })
+        CHECK_THROWS_AS((void)decodeJob(body), Error);
+    CHECK(rc::check("any text", [](const std::string& text) {
+        try {
+            (void)decodeJob(text);
+        } catch (const Error& error) {
+            RC_ASSERT(error.kind() == ErrorKind::invalidArgument);
+        }
+    }));
+}
+
+TEST_CASE("a config is decoded, and an unreadable one keeps the previous")
+{
+    const auto* const text = R"({"version":7,"routes":[{"name":"r","host":"h","pathPrefix":"/p/","service":"s",
+        "priority":1,"maxAttempts":4,"stretch":1.5,"targetLatencyMs":250.0}],"services":[{"name":"s"}],
+        "tenants":[{"name":"t","apiKeys":["k"],"guaranteed":{"gpu":16}}],"later":1})";
+    const auto source = operatorSource();
+    const auto state = source.decode({ { "config", text }, { "evacuate/zone-a", "{}" } }, {});
+    REQUIRE(state.config);
+    CHECK(state.config->version == 7);
+    CHECK(state.config->queue("r")->policy.maxAttempts == 4);
+    CHECK(state.config->workspaceOfKey("k")->guaranteedAccelerators == 16);
+    CHECK(state.zonesOut == std::set<std::string> { "zone-a" });
+    const auto kept = source.decode({ { "config", "{" } }, state);
+    CHECK(kept.config == state.config);
+    CHECK(kept.zonesOut.empty());
+}
+
+TEST_CASE("a heartbeat from another writer names no executor to use")
+{
+    const auto* const good = R"({"service":"s","addr":"10.0.0.1:80","zone":"z","state":"ready","seq":4,"born":17,
+        "capacity":{"cpu":16000,"memMb":32768,"gpu":8},"labels":["a","r1-3"]})";
+    const auto announcement = decodeHeartbeat("i-1", good);
+    CHECK(announcement.lifetime == Lifetime { "i-1", 17 });
+    CHECK(announcement.capacity == ResourceVector { 16000, 32768, 8 });
+    for (const auto* const body :
+        { "", "{}", "{\"seq\":\"x\"}", "\xff", R"({"service":"s","zone":"z","state":"odd","seq":4})",
+            R"({"service":5,"zone":"z","state":"ready","seq":4})" })
+        CHECK_THROWS_AS((void)decodeHeartbeat("i-1", body), Error);
+}
+
+TEST_CASE("calls of an executor are answered, and unreadable ones change nothing")
+{
+    int announced = 0;
+    int departed = 0;
+    const ExecutorEvents events { [&](const auto&) { ++announced; }, [&](const auto&) { ++departed; } };
+    HttpRequest request;
+    request.method = "POST";
+    request.path = "/v1/instances/i-1/heartbeat";
+    request.body = "{";
+    CHECK(answerExecutor(request, events).status == 400);
+    request.body = R"({"service":"s","zone":"z","state":"draining","seq":4,"born":17})";
+    CHECK(answerExecutor(request, events).status == 200);
+    request.path = "/v1/instances/i-1/deregister";
+    CHECK(answerExecutor(request, events).status == 200);
+    request.path = "/v1/other";
+    CHECK(answerExecutor(request, events).status == 404);
+    CHECK(announced == 1);
+    CHECK(departed == 1);
+}
+
+TEST_CASE("settings are decoded with defaults for bounds that are not given, and errors name the remedy")
+{
+    const auto* const text = R"({"node":"side-1","zone":"z","ip":"10.1.0.20","listen":{"control":"10.1.0.20:8526"},
+        "internalPorts":[7000,7015],"seeds":["10.2.0.1:8526"],"platform":{"addr":"10.200.1.7:8524"},
+        "app":"10.1.0.20:8529","bounds":{"maxHoldMs":6000,"graceS":6,"remoteFactor":3},"dataDir":null,"new":[1]})";
+    const auto settings = decodeSettings(text);
+    CHECK(settings.internal == Address { "10.1.0.20", 7000 });
+    CHECK(settings.metrics == Address { "10.1.0.20", 7001 });
+    CHECK(settings.seeds == std::vector<Address> { { "10.2.0.1", 7000 } });
+    CHECK(settings.bounds.maxLease == std::chrono::seconds { 6 });
+    CHECK(settings.bounds.gangAssembly == std::chrono::seconds { 3 });
+    CHECK_FALSE(settings.front);
+    for (const auto* const bad : { "", "{}", "{\"node\":1}" })
+        CHECK_THROWS_AS((void)decodeSettings(bad), Error);
+}
