Pass clients' calls on to other entries while the store turns one entry away; reject at once when the store is silent

An entry is not ready as soon as its store feed fails. Without an answer of the store for 2 s a submission is rejected before any attempt, and Retry-After is 2 s. Tests: peer_relay, and a silent store in job_gateway; both failed before.

--- a/src/lycheespool/cli/role_gateway.cpp
+++ b/src/lycheespool/cli/role_gateway.cpp
@@ -34,7 +34,8 @@
         , m_store { settings.store, metrics }
         , m_watcher { m_store, platform::operatorSource(), [this] { m_leader->onOperatorChange(); } }
         , m_gateway { m_store, RowNames {}, metrics }
-        , m_api { m_gateway, m_watcher }
+        , m_relay { pool.context().get_executor(), settings.internal, settings.seeds, metrics }
+        , m_api { m_gateway, m_watcher, m_relay }
         , m_leader { std::make_shared<LeaderHost<Store>>(pool.context().get_executor(), m_store, m_watcher, RowNames {},
               LeaseRow { settings.node, drawIncarnation().value(), settings.internal.toString(), 0 },
               ControllerSettings::from(settings.bounds), metrics) }
@@ -46,7 +47,7 @@
     {
         if (settings.front)
             m_front.emplace(pool, *settings.front, metrics,
-                [this](HttpRequest request) { return m_api.answer(std::move(request)); });
+                [this](HttpRequest request) { return m_api.answerOrRelay(std::move(request)); });
         if (settings.ready)
             m_ready.emplace(pool, *settings.ready, metrics,
                 [this](HttpRequest) -> Awaitable<HttpResponse> { co_return answerReady(); });
@@ -100,20 +101,33 @@
 
     void onMessage(const std::shared_ptr<RpcConnection>& source, Envelope envelope)
     {
-        if (envelope.type != MessageType::nodeReport)
-            return;
         try {
-            source->send(m_leader->onReport(source, envelope.as<NodeReport>()), envelope.correlation);
+            if (envelope.type == MessageType::nodeReport)
+                source->send(m_leader->onReport(source, envelope.as<NodeReport>()), envelope.correlation);
+            else if (envelope.type == MessageType::clientCall)
+                answerRelayed(source, envelope.as<ClientCall>(), envelope.correlation);
         } catch (const Error& error) {
-            logEvent("report_unreadable", { { "reason", error.what() } });
+            logEvent("message_unreadable", { { "reason", error.what() } });
             source->close();
         }
     }
 
+    void answerRelayed(const std::shared_ptr<RpcConnection>& source, ClientCall call, std::uint64_t correlation)
+    {
+        asio::co_spawn(
+            source->executor(),
+            [this, source, correlation, call = std::move(call)]() mutable -> Awaitable<> {
+                const auto reply = co_await m_api.answerRelayed(std::move(call));
+                source->send(reply, correlation);
+            },
+            asio::detached);
+    }
+
     NodeSettings m_settings;
     Store m_store;
     OperatorWatcher<Store> m_watcher;
     JobGateway<Store> m_gateway;
+    PeerRelay m_relay;
     platform::ClientApi<Store> m_api;
     std::shared_ptr<LeaderHost<Store>> m_leader;
     RpcServer m_messages;
--- a/src/lycheespool/gateway/job_gateway.h
+++ b/src/lycheespool/gateway/job_gateway.h
@@ -52,6 +52,9 @@
     static constexpr Duration feedPause = std::chrono::milliseconds { 80 };
     /*! @brief Time for which the store counts as slow after it exceeded attemptTimeout. */
     static constexpr Duration slowMemory = std::chrono::seconds { 3 };
+    /*! @brief A store that answered nothing for this long is taken as away; its feeds answer each 1.4 s when it is
+     * slow. */
+    static constexpr Duration silenceLimit = std::chrono::milliseconds { 2000 };
     /*! @brief States older than this are confirmed by a read before a job is denied. */
     static constexpr Duration freshness = std::chrono::milliseconds { 1500 };
 
@@ -169,11 +172,24 @@
      */
     [[nodiscard]] std::int64_t pendingIn(const std::string& queue) const { return m_directory.pendingIn(queue); }
 
+    /**
+     * @brief Tells when a rejected client should come back.
+     * @return A second, or longer while the store is away, since clients make only a few attempts.
+     */
+    [[nodiscard]] std::chrono::seconds retryAfter() const
+    {
+        const bool isAway = m_isDown || BootClock {}.now() - m_answeredAt > silenceLimit;
+        return std::chrono::seconds { isAway ? 2 : 1 };
+    }
+
     /**
      * @brief Tells whether the store answered lately.
      * @return False while submissions would fail.
      */
-    [[nodiscard]] bool isStoreReachable() const { return BootClock {}.now() - m_confirmedAt <= 2 * freshness; }
+    [[nodiscard]] bool isStoreReachable() const
+    {
+        return !m_isDown && BootClock {}.now() - m_answeredAt <= silenceLimit;
+    }
 
     /*! @brief Follows the states of jobs until the context ends. */
     [[nodiscard]] Awaitable<> run()
@@ -216,6 +232,9 @@
     template <typename Settled>
     [[nodiscard]] Awaitable<GatewayResult> write(RowTransaction transaction, TimePoint deadline, Settled settled)
     {
+        // Without an attempt nothing can take effect, so the client may go elsewhere at once.
+        if (BootClock {}.now() - m_answeredAt > silenceLimit)
+            co_return GatewayResult::rejected;
         bool mayHappen = false;
         unsigned refusals = 0;
         while (true) {
@@ -240,6 +259,7 @@
                         { "may_happen", mayHappen }, { "attempt", refusals } });
             }
             if (commit) {
+                m_answeredAt = BootClock {}.now();
                 settled(*commit);
                 co_return GatewayResult::accepted;
             }
@@ -260,11 +280,13 @@
             for (const auto& it : list.rows)
                 takeIn(it);
             m_version = list.version;
+            m_answeredAt = BootClock {}.now();
             m_isListed = true;
         } else {
             std::string table { RowNames::progressTable };
             const auto changes
                 = co_await m_store.changes(std::move(table), m_version, feedWait, feedWait + attemptTimeout);
+            m_answeredAt = BootClock {}.now();
             if (changes.isHistoryLost) {
                 logEvent("states_history_lost", { { "version", m_version } });
                 m_isListed = false;
@@ -304,6 +326,8 @@
     bool m_isListed { false };
     bool m_isDown { false };
     TimePoint m_confirmedAt { -std::chrono::hours { 24 } };
+    /*! @brief When the store answered last; a new process makes one attempt before it judges. */
+    TimePoint m_answeredAt { BootClock {}.now() };
     TimePoint m_slowUntil { -std::chrono::hours { 24 } };
     Counter& m_accepted;
     Counter& m_repeated;
--- a/src/lycheespool/wire/message_type.h
+++ b/src/lycheespool/wire/message_type.h
@@ -20,6 +20,8 @@
     nodeReportReply = 15,
     nodeOrders = 16,
     nodeOrdersReply = 17,
+    clientCall = 18,
+    clientCallReply = 19,
 };
 
 /**
--- a/src/lycheespool/wire/node_messages.h
+++ b/src/lycheespool/wire/node_messages.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace lycheespool {
@@ -149,6 +150,27 @@
     MSGPACK_DEFINE(outcomes)
 };
 
+/*! @brief A client's call that another entry answers, because the store does not serve the one it arrived at. */
+struct ClientCall {
+    static constexpr auto type = MessageType::clientCall;
+
+    std::string method;
+    std::string path;
+    std::vector<std::pair<std::string, std::string>> fields;
+    std::string body;
+    MSGPACK_DEFINE(method, path, fields, body)
+};
+
+/*! @brief Answer to ClientCall. */
+struct ClientCallReply {
+    static constexpr auto type = MessageType::clientCallReply;
+
+    unsigned status { 503 };
+    std::vector<std::pair<std::string, std::string>> fields;
+    std::string body;
+    MSGPACK_DEFINE(status, fields, body)
+};
+
 }
 
 MSGPACK_ADD_ENUM(lycheespool::ExecutorState);
--- a/test/lycheespool/gateway/job_gateway.cpp
+++ b/test/lycheespool/gateway/job_gateway.cpp
@@ -5,6 +5,8 @@
 
 #include <doctest/doctest.h>
 
+#include <thread>
+
 using namespace lycheespool;
 using namespace std::chrono_literals;
 
@@ -89,6 +91,18 @@
     CHECK(f.storedJobs() == 0);
 }
 
+TEST_CASE("a store that has been silent for long makes a rejection without an attempt")
+{
+    Fixture f;
+    f.firstStore.delayCommits = 100;
+    const auto silent = BootClock {}.now() + JobGateway<FakeRowStore>::silenceLimit;
+    while (BootClock {}.now() <= silent)
+        std::this_thread::sleep_for(50ms);
+    CHECK(await(f.first.submit("id", Fixture::job(), Fixture::soon())) == GatewayResult::rejected);
+    CHECK(f.firstStore.commits == 0);
+    CHECK(f.first.retryAfter() == 2s);
+}
+
 TEST_CASE("a job is known at every entry before the leader has taken it in")
 {
     Fixture f;
--- /dev/null
+++ b/test/lycheespool/gateway/peer_relay.cpp
@@ -0,0 +1,74 @@
+#include "lycheespool/gateway/peer_relay.h"
+
+#include "lycheespool/net/rpc_server.h"
+
+#include <doctest/doctest.h>
+
+#include <future>
+
+using namespace lycheespool;
+using namespace std::chrono_literals;
+
+namespace {
+
+/*! @brief An entry that answers every call with one status, or not at all. */
+class Peer {
+public:
+    Peer(IoPool& pool, Metrics& metrics, unsigned status, bool isSilent = false)
+        : m_server { pool, { "127.0.0.1", 0 }, metrics,
+            [status, isSilent](const auto& source, Envelope envelope) {
+                if (!isSilent)
+                    source->send(ClientCallReply { status, {}, "from a peer" }, envelope.correlation);
+            },
+            [](const auto&) {} }
+    {
+        m_server.start();
+    }
+    ~Peer() { m_server.stop(); }
+
+    [[nodiscard]] Address address() const { return m_server.address(); }
+
+private:
+    RpcServer m_server;
+};
+
+RelayResult relayTo(IoPool& pool, Metrics& metrics, std::vector<Address> peers, Duration patience = 5s)
+{
+    PeerRelay relay { pool.context().get_executor(), { "127.0.0.1", 1 }, std::move(peers), metrics };
+    const ClientCall call { "POST", "/queue/id", {}, "{}" };
+    auto result = asio::co_spawn(pool.context(), relay.relay(call, BootClock {}.now() + patience), asio::use_future);
+    return result.get();
+}
+
+}
+
+TEST_CASE("a call is answered by the first entry that can serve it")
+{
+    IoPool pool { 1 };
+    Metrics metrics;
+    Peer busy { pool, metrics, 503 };
+    Peer good { pool, metrics, 200 };
+    const auto result = relayTo(pool, metrics, { busy.address(), good.address(), { "127.0.0.1", 1 } });
+    REQUIRE(result.reply);
+    CHECK(result.reply->status == 200);
+}
+
+TEST_CASE("a call that no entry got certainly does not happen")
+{
+    IoPool pool { 1 };
+    Metrics metrics;
+    Peer busy { pool, metrics, 503 };
+    const auto result = relayTo(pool, metrics, { busy.address(), { "127.0.0.1", 9 } });
+    CHECK_FALSE(result.reply);
+    CHECK_FALSE(result.mayHappen);
+}
+
+TEST_CASE("a call that an entry got and did not answer may happen, and goes to no other entry")
+{
+    IoPool pool { 1 };
+    Metrics metrics;
+    Peer silent { pool, metrics, 200, true };
+    const auto result = relayTo(pool, metrics, { silent.address() }, 300ms);
+    CHECK_FALSE(result.reply);
+    CHECK(result.mayHappen);
+}
