Split the choice of evictions, sort by full keys, and mend what the linter found

Cause: the linter ran on the new sources for the first time; evictFor() did three things. Change: one function each for one executor, all executors and the best rack; orders do not depend on the input's order.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -13,7 +13,8 @@
 ctest --preset release
 cmake --preset asan
 cmake --build --preset asan
-ctest --preset asan
+# One seed of each fault case: the sanitizers make the simulation ten times slower.
+LYCHEESPOOL_SEEDS=1 ctest --preset asan
 cmake --preset tsan
 cmake --build --preset tsan --target test_core test_net test_request
 ctest --preset tsan -R '^(core|net|request)$'
--- a/src/lycheespool/controller/controller_planning.cpp
+++ b/src/lycheespool/controller/controller_planning.cpp
@@ -8,6 +8,8 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <string_view>
+#include <tuple>
 
 namespace lycheespool {
 
@@ -93,7 +95,9 @@
             }
         }
     }
-    std::ranges::stable_sort(waiting, {}, &WaitingStep::rank);
+    std::ranges::sort(waiting, {}, [](const auto& it) {
+        return std::tuple { it.rank, std::string_view { it.job->id }, it.occurrence, it.step };
+    });
     return waiting;
 }
 
@@ -216,8 +220,8 @@
         const auto plan = StartPlanner { std::move(nodes) }.plan(requests);
         for (const auto& it : plan.starts) {
             std::vector<std::string> places;
-            for (const auto node : it.nodes)
-                places.push_back(names[node]);
+            std::ranges::transform(
+                it.nodes, std::back_inserter(places), [&](std::size_t position) { return names[position]; });
             startRuns(waiting[positions[it.request]], places, now);
         }
         for (const auto handle : plan.evictions) {
--- a/src/lycheespool/controller/controller_runs.cpp
+++ b/src/lycheespool/controller/controller_runs.cpp
@@ -387,9 +387,8 @@
         break;
     }
     case RunOrderResult::unresolved:
-        break;
     case RunOrderResult::wrongLifetime:
-        // The next report of the node names the present lifetime, which releases the run.
+        // An unresolved order is sent again; the next report names the present lifetime, which releases the run.
         break;
     }
 }
--- a/src/lycheespool/controller/leader_host.h
+++ b/src/lycheespool/controller/leader_host.h
@@ -181,6 +181,7 @@
     [[nodiscard]] Awaitable<std::uint64_t> rebuild(std::uint64_t term)
     {
         std::vector<Awaitable<RowList>> reads;
+        reads.reserve(RowNames::intakeShards + 1);
         for (unsigned shard = 0; shard < RowNames::intakeShards; ++shard)
             reads.push_back(readShard(shard));
         RowRange progressRange { std::string { RowNames::progressTable }, m_names.partition, {}, {} };
@@ -364,8 +365,8 @@
             const auto self = this->shared_from_this();
             asio::co_spawn(
                 m_executor,
-                [self, node, orders = std::move(orders), connection = connection->second, term = m_term]() mutable
-                -> Awaitable<> { co_await self->deliver(node, std::move(orders), connection, term); },
+                [self, target = node, batch = std::move(orders), link = connection->second, term = m_term]() mutable
+                -> Awaitable<> { co_await self->deliver(target, std::move(batch), link, term); },
                 asio::detached);
         }
     }
--- a/src/lycheespool/dispatch/start_planner.cpp
+++ b/src/lycheespool/dispatch/start_planner.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <numeric>
+#include <tuple>
 
 namespace lycheespool {
 
@@ -85,8 +86,9 @@
     std::iota(order.begin(), order.end(), std::size_t { 0 });
     // A reservation takes the emptiest executors instead, which are free the soonest.
     const double direction = scope.whenEmpty ? -1 : 1;
-    std::ranges::stable_sort(
-        order, {}, [&](std::size_t it) { return direction * leftover(m_nodes[it], request.perTask); });
+    std::ranges::sort(order, {}, [&](std::size_t it) {
+        return std::pair { direction * leftover(m_nodes[it], request.perTask), it };
+    });
     Places places;
     for (const auto node : order) {
         const auto copies = copiesOn(request, node, scope);
@@ -182,81 +184,74 @@
 }
 
 /*! @brief Chooses what to stop on one executor so that some tasks fit, with the unsaved work that it costs. */
-std::optional<std::pair<double, std::vector<std::size_t>>> StartPlanner::evictionsOn(
+std::optional<StartPlanner::EvictionChoice> StartPlanner::evictionsOn(
     const StartRequest& request, std::size_t node, std::int64_t copies) const
 {
     const auto& it = m_nodes[node];
     auto room = it.free;
     room += it.returning;
     auto runs = it.evictable;
-    std::ranges::stable_sort(runs, {}, &EvictableRun::unsavedCoreSeconds);
-    double cost = 0;
-    std::vector<std::size_t> handles;
+    std::ranges::sort(runs, {}, [](const auto& run) { return std::pair { run.unsavedCoreSeconds, run.handle }; });
+    EvictionChoice choice;
+    choice.nodes.push_back(node);
     for (const auto& run : runs) {
         if (request.perTask.copiesIn(room) >= copies)
             break;
         room += run.charged;
-        cost += run.unsavedCoreSeconds;
-        handles.push_back(run.handle);
+        choice.cost += run.unsavedCoreSeconds;
+        choice.handles.push_back(run.handle);
     }
     if (request.perTask.copiesIn(room) < copies)
         return std::nullopt;
-    return std::pair { cost, std::move(handles) };
+    return choice;
 }
 
-bool StartPlanner::evictFor(const StartRequest& request, StartPlan& plan)
+/*! @brief Chooses what to stop so that all tasks of a request fit, the cheapest room first. */
+std::optional<StartPlanner::EvictionChoice> StartPlanner::chooseEvictions(
+    const StartRequest& request, const std::string& rack) const
 {
-    struct Choice {
-        double cost;
-        std::vector<std::size_t> handles;
-        std::vector<std::size_t> nodes;
+    struct Candidate {
+        double costPerCopy;
+        std::size_t node;
+        std::int64_t copies;
+        EvictionChoice choice;
     };
-    const auto choose = [&](const std::string& rack) -> std::optional<Choice> {
-        const Scope scope { .rack = rack, .withSuspects = true, .whenEmpty = true };
-        struct Candidate {
-            double costPerCopy;
-            double cost;
-            std::int64_t copies;
-            std::size_t node;
-            std::vector<std::size_t> handles;
-        };
-        std::vector<Candidate> candidates;
-        for (std::size_t i = 0; i < m_nodes.size(); ++i) {
-            // The largest number of copies that stopping everything allows; fewer may be cheaper.
-            for (auto copies = copiesOn(request, i, scope); copies > 0; --copies) {
-                if (auto found = evictionsOn(request, i, copies)) {
-                    const auto perCopy = found->first / static_cast<double>(copies);
-                    candidates.push_back({ perCopy, found->first, copies, i, std::move(found->second) });
-                }
-            }
-        }
-        std::ranges::stable_sort(candidates, {}, &Candidate::costPerCopy);
-        Choice choice { 0, {}, {} };
-        std::int64_t missing = request.tasks;
-        for (auto& it : candidates) {
-            if (missing <= 0)
-                break;
-            if (std::ranges::find(choice.nodes, it.node) != choice.nodes.end())
-                continue;
-            choice.cost += it.cost;
-            choice.handles.insert(choice.handles.end(), it.handles.begin(), it.handles.end());
-            choice.nodes.push_back(it.node);
-            missing -= it.copies;
+    const Scope scope { .rack = rack, .withSuspects = true, .whenEmpty = true };
+    std::vector<Candidate> candidates;
+    for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+        // Stopping everything makes the most room; less room may cost less for each task.
+        for (auto copies = copiesOn(request, i, scope); copies > 0; --copies) {
+            if (auto found = evictionsOn(request, i, copies))
+                candidates.push_back({ found->cost / static_cast<double>(copies), i, copies, std::move(*found) });
         }
-        if (missing > 0)
-            return std::nullopt;
-        return choice;
-    };
-    std::optional<Choice> best;
+    }
+    std::ranges::sort(candidates, {}, [](const auto& it) { return std::tuple { it.costPerCopy, it.node, it.copies }; });
+    EvictionChoice choice;
+    std::int64_t missing = request.tasks;
+    for (const auto& it : candidates) {
+        const bool isUsed = std::ranges::find(choice.nodes, it.node) != choice.nodes.end();
+        if (missing <= 0 || isUsed)
+            continue;
+        choice.cost += it.choice.cost;
+        choice.handles.insert(choice.handles.end(), it.choice.handles.begin(), it.choice.handles.end());
+        choice.nodes.push_back(it.node);
+        missing -= it.copies;
+    }
+    return missing > 0 ? std::nullopt : std::optional { std::move(choice) };
+}
+
+bool StartPlanner::evictFor(const StartRequest& request, StartPlan& plan)
+{
+    std::optional<EvictionChoice> best;
     if (request.isGang && request.prefersOneRack) {
         for (const auto& rack : racks()) {
-            auto choice = choose(rack);
+            auto choice = chooseEvictions(request, rack);
             if (choice && (!best || choice->cost < best->cost))
                 best = std::move(choice);
         }
     }
     if (!best)
-        best = choose({});
+        best = chooseEvictions(request, {});
     if (!best)
         return false;
     evict(best->handles, plan);
--- a/src/lycheespool/dispatch/start_planner.h
+++ b/src/lycheespool/dispatch/start_planner.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 #include <span>
+#include <string>
 #include <vector>
 
 namespace lycheespool {
@@ -52,6 +53,14 @@
         bool whenEmpty { false };
     };
 
+    /*! @brief Runs to stop for a request. */
+    struct EvictionChoice {
+        /*! @brief Unsaved work that is thrown away, core-seconds. */
+        double cost { 0 };
+        std::vector<std::size_t> handles;
+        std::vector<std::size_t> nodes;
+    };
+
     using Places = std::vector<std::size_t>;
 
     [[nodiscard]] bool isAllowed(const StartRequest& request, std::size_t node, const Scope& scope) const;
@@ -65,8 +74,10 @@
     void take(const StartRequest& request, const Places& places);
     void reserve(const StartRequest& request);
     [[nodiscard]] bool evictFor(const StartRequest& request, StartPlan& plan);
-    [[nodiscard]] std::optional<std::pair<double, std::vector<std::size_t>>> evictionsOn(
+    [[nodiscard]] std::optional<EvictionChoice> evictionsOn(
         const StartRequest& request, std::size_t node, std::int64_t copies) const;
+    [[nodiscard]] std::optional<EvictionChoice> chooseEvictions(
+        const StartRequest& request, const std::string& rack) const;
     void evict(std::span<const std::size_t> handles, StartPlan& plan);
 
     std::vector<NodeRoom> m_nodes;
--- a/src/lycheespool/nodeagent/node_agent.h
+++ b/src/lycheespool/nodeagent/node_agent.h
@@ -334,6 +334,7 @@
         if (orders.lifetime == m_executorState.lifetime)
             acknowledge(orders.endsStored);
         std::vector<Awaitable<RunOrderOutcome>> operations;
+        operations.reserve(orders.orders.size());
         for (const auto& it : orders.orders)
             operations.push_back(carryOutOne(it, orders));
         auto settled = co_await whenAll(std::move(operations));
