--- a/src/lycheespool/cluster/operator_watcher.h
+++ b/src/lycheespool/cluster/operator_watcher.h
@@ -66,24 +66,9 @@
     }
 
     /**
-     * @brief Gives the present state.
-     * @return The state.
-     */
-    [[nodiscard]] const OperatorState& state() const { return m_state; }
-
-    /**
-     * @brief Tells how old the state may be.
-     * @param now Present time.
-     * @return Time since the request whose answer confirmed the state was sent.
+     * @brief Makes one call of the store: lists the rows, or waits for a change of them.
+     * @throws Error when the store did not answer.
      */
-    [[nodiscard]] Duration age(TimePoint now) const { return now - m_confirmedAt; }
-
-private:
-    [[nodiscard]] std::int64_t ageMs() const
-    {
-        return std::chrono::duration_cast<std::chrono::milliseconds>(age(BootClock {}.now())).count();
-    }
-
     [[nodiscard]] Awaitable<> step()
     {
         const auto sent = BootClock {}.now();
@@ -123,6 +108,25 @@
         m_confirmedAt = sent;
     }
 
+    /**
+     * @brief Gives the present state.
+     * @return The state.
+     */
+    [[nodiscard]] const OperatorState& state() const { return m_state; }
+
+    /**
+     * @brief Tells how old the state may be.
+     * @param now Present time.
+     * @return Time since the request whose answer confirmed the state was sent.
+     */
+    [[nodiscard]] Duration age(TimePoint now) const { return now - m_confirmedAt; }
+
+private:
+    [[nodiscard]] std::int64_t ageMs() const
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(age(BootClock {}.now())).count();
+    }
+
     void apply()
     {
         const auto before = m_state.config ? m_state.config->version : 0;
--- /dev/null
+++ b/test/platform/client_api.cpp
@@ -0,0 +1,93 @@
+#include "platform/client_api.h"
+
+#include "platform/operator_codec.h"
+
+#include "lycheespool/net/rpc_server.h"
+#include "lycheespool/store/fake_row_store.h"
+
+#include <doctest/doctest.h>
+
+#include <atomic>
+#include <future>
+#include <thread>
+
+using namespace lycheespool;
+using namespace std::chrono_literals;
+
+namespace {
+
+/*! @brief An entry whose store refuses everything once its config is read, beside a peer that denies every call. */
+class Fixture {
+public:
+    explicit Fixture(unsigned peerStatus)
+        : m_peer { m_pool, { "127.0.0.1", 0 }, m_metrics,
+            [this, peerStatus](const auto& source, Envelope envelope) {
+                ++m_relayed;
+                source->send(ClientCallReply { peerStatus, {}, "{}" }, envelope.correlation);
+            },
+            [](const auto&) {} }
+        , m_watcher { m_store, platform::operatorSource(), [] {} }
+        , m_gateway { m_store, RowNames {}, m_metrics }
+        , m_relay { m_pool.context().get_executor(), { "127.0.0.1", 1 }, { m_peer.address() }, m_metrics }
+        , m_api { m_gateway, m_watcher, m_relay }
+    {
+        m_peer.start();
+        const RowName name { "op", {}, "config" };
+        m_rows.rows[name] = { name,
+            R"({"version":2,"routes":[{"name":"r","host":"h","pathPrefix":"/p/","allowAnonymous":true}]})", 1, false };
+        std::promise<void> isRead;
+        asio::co_spawn(
+            m_pool.context(),
+            [this, &isRead]() -> Awaitable<> {
+                co_await m_watcher.step();
+                m_store.isRefusing = true;
+                isRead.set_value();
+            },
+            asio::detached);
+        isRead.get_future().wait();
+    }
+    ~Fixture() { m_peer.stop(); }
+
+    unsigned post(const std::string& host)
+    {
+        HttpRequest request { "POST", "/p/id", {}, { { "Host", host } }, R"({"steps":[{"count":1}]})" };
+        return asio::co_spawn(m_pool.context(), m_api.answerOrRelay(request), asio::use_future).get().status;
+    }
+
+    [[nodiscard]] int relayed() const { return m_relayed; }
+
+private:
+    IoPool m_pool { 1 };
+    Metrics m_metrics;
+    FakeRows m_rows;
+    FakeRowStore m_store { m_rows };
+    std::atomic<int> m_relayed { 0 };
+    RpcServer m_peer;
+    OperatorWatcher<FakeRowStore> m_watcher;
+    JobGateway<FakeRowStore> m_gateway;
+    PeerRelay m_relay;
+    platform::ClientApi<FakeRowStore> m_api;
+};
+
+}
+
+TEST_CASE("a call that the store refuses here is answered by another entry")
+{
+    Fixture f { 200 };
+    CHECK(f.post("h") == 200);
+    CHECK(f.relayed() == 1);
+}
+
+TEST_CASE("a denial by another entry's newer config is not shown by an entry with an older one")
+{
+    Fixture f { 404 };
+    CHECK(f.post("h") == 503);
+}
+
+TEST_CASE("a call that the own old config denies is neither denied nor passed on")
+{
+    Fixture f { 200 };
+    std::this_thread::sleep_for(platform::ClientApi<FakeRowStore>::oldestDenial + 100ms);
+    CHECK(f.post("other") == 503);
+    CHECK(f.relayed() == 0);
+}
