Stop the pool before the members of relay tests are destroyed

Cause: the address sanitizer reported a use after free in test_gateway and test_platform: the metrics of the fixtures were destroyed while a connection on the pool still counted. Ruled out: the roles; there the metrics outlive the pool. Change: the fixtures destroy the pool before the metrics.

--- a/test/lycheespool/gateway/peer_relay.cpp
+++ b/test/lycheespool/gateway/peer_relay.cpp
@@ -44,8 +44,9 @@
 
 TEST_CASE("a call is answered by the first entry that can serve it")
 {
-    IoPool pool { 1 };
+    // Connections count frames until the pool has stopped.
     Metrics metrics;
+    IoPool pool { 1 };
     Peer busy { pool, metrics, 503 };
     Peer good { pool, metrics, 200 };
     const auto result = relayTo(pool, metrics, { busy.address(), good.address(), { "127.0.0.1", 1 } });
@@ -55,8 +56,9 @@
 
 TEST_CASE("a call that no entry got certainly does not happen")
 {
-    IoPool pool { 1 };
+    // Connections count frames until the pool has stopped.
     Metrics metrics;
+    IoPool pool { 1 };
     Peer busy { pool, metrics, 503 };
     const auto result = relayTo(pool, metrics, { busy.address(), { "127.0.0.1", 9 } });
     CHECK_FALSE(result.reply);
@@ -65,8 +67,9 @@
 
 TEST_CASE("a call that an entry got and did not answer may happen, and goes to no other entry")
 {
-    IoPool pool { 1 };
+    // Connections count frames until the pool has stopped.
     Metrics metrics;
+    IoPool pool { 1 };
     Peer silent { pool, metrics, 200, true };
     const auto result = relayTo(pool, metrics, { silent.address() }, 300ms);
     CHECK_FALSE(result.reply);
--- a/test/platform/client_api.cpp
+++ b/test/platform/client_api.cpp
@@ -46,7 +46,12 @@
             asio::detached);
         isRead.get_future().wait();
     }
-    ~Fixture() { m_peer.stop(); }
+    ~Fixture()
+    {
+        m_peer.stop();
+        // Nothing runs any more while the members are destroyed.
+        m_pool.stop();
+    }
 
     unsigned post(const std::string& host)
     {
@@ -57,8 +62,8 @@
     [[nodiscard]] int relayed() const { return m_relayed; }
 
 private:
-    IoPool m_pool { 1 };
     Metrics m_metrics;
+    IoPool m_pool { 1 };
     FakeRows m_rows;
     FakeRowStore m_store { m_rows };
     std::atomic<int> m_relayed { 0 };
