--- a/scripts/tidy.sh
+++ b/scripts/tidy.sh
@@ -21,5 +21,5 @@
 }
 export -f check
 files=("$@")
-[ ${#files[@]} -gt 0 ] || mapfile -t files < <(find src bench examples -name '*.cpp' ! -path '*/net/asio.cpp' 2> /dev/null)
+[ ${#files[@]} -gt 0 ] || mapfile -t files < <(find src platform bench examples -name '*.cpp' ! -path '*/net/asio.cpp' 2> /dev/null)
 printf '%s\n' "${files[@]}" | xargs -P "${JOBS:-$(nproc)}" -I{} bash -c 'check {}'
