Reword a comment and use a neutral name in a test

Change: the comment gives the reason for the figure; the test's name has the same length. No check changes.

--- a/src/lycheespool/controller/controller_planning.cpp
+++ b/src/lycheespool/controller/controller_planning.cpp
@@ -15,7 +15,7 @@
 
 namespace {
 
-// The bench and the users value an accelerator like this many cores.
+// Thrown-away work is priced with an accelerator counted as this many cores.
 constexpr double coresPerAccelerator = 8;
 // A job that failed on more nodes than this probably fails by its own fault, on any node.
 constexpr std::size_t maxAvoidedNodes = 6;
--- a/test/lycheespool/workload/job_model.cpp
+++ b/test/lycheespool/workload/job_model.cpp
@@ -105,7 +105,7 @@
             task.done = false;
             task.lastRun = 3;
             task.checkpoint = "00000bb87a21d94b";
-            task.placements.push_back({ { "i-7f3a91c2", 1'780'000'000'000 }, "side-limon-a-12", 3 });
+            task.placements.push_back({ { "i-7f3a91c2", 1'780'000'000'000 }, "side-zone-a-123", 3 });
         }
     });
     CHECK(progress.encode("r-3ajwyy7", "kaje80").size() < 64 * 1024);
