Keep metrics in a Prometheus registry, with latency histograms

Change: counters and histograms are those of prometheus-cpp; gauges are collected beside them. Lines that the log dropped are a gauge now. Ruled out: exposing through the library's own HTTP server, which starts threads of its own and a second listener.

--- a/src/lycheespool/controller/controller.h
+++ b/src/lycheespool/controller/controller.h
@@ -221,8 +221,8 @@
     Counter& m_runsEvicted;
     Counter& m_runsStalled;
     Counter& m_straysStopped;
-    Distribution& m_waitMs;
-    Distribution& m_completionMs;
+    LatencyHistogram& m_waitMs;
+    LatencyHistogram& m_completionMs;
 };
 
 }
--- a/src/lycheespool/controller/leader_host.h
+++ b/src/lycheespool/controller/leader_host.h
@@ -64,7 +64,7 @@
         , m_metrics { metrics }
         , m_leadership { store, std::move(names), std::move(self) }
         , m_wakeUp { executor }
-        , m_commitMs { metrics.distribution("progress_commit_ms") }
+        , m_commitMs { metrics.histogram("progress_commit_ms") }
         , m_takeovers { metrics.counter("leadership_taken_total") }
         , m_commitFailures { metrics.counter("progress_commits_failed_total") }
     {
@@ -404,7 +404,7 @@
     std::map<std::string, std::shared_ptr<RpcConnection>> m_connections;
     bool m_hasMore { false };
     bool m_isIntakeDown { false };
-    Distribution& m_commitMs;
+    LatencyHistogram& m_commitMs;
     Counter& m_takeovers;
     Counter& m_commitFailures;
 };
--- a/src/lycheespool/core/event_log.cpp
+++ b/src/lycheespool/core/event_log.cpp
@@ -82,6 +82,12 @@
     log.writer.reset();
 }
 
+std::uint64_t droppedEvents()
+{
+    const auto& log = eventLog();
+    return log.writer ? log.writer->overrun_counter() : 0;
+}
+
 void logEvent(std::string_view event, nlohmann::json fields)
 {
     auto& log = eventLog();
@@ -96,7 +102,7 @@
     fields["process"] = log.process;
     if (suppressed > 0)
         fields["suppressed"] = suppressed;
-    const auto dropped = log.writer->overrun_counter();
+    const auto dropped = droppedEvents();
     if (dropped > 0)
         fields["dropped"] = dropped;
     log.logger->info(fields.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
--- a/src/lycheespool/core/event_log.h
+++ b/src/lycheespool/core/event_log.h
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json_fwd.hpp>
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -30,6 +31,12 @@
  */
 void logEvent(std::string_view event, nlohmann::json fields);
 
+/**
+ * @brief Counts the lines that a full queue dropped.
+ * @return Lines since startEventLog().
+ */
+[[nodiscard]] std::uint64_t droppedEvents();
+
 /*! @brief Most lines of one event per second. */
 inline constexpr unsigned maxLinesPerSecond = 100;
 
--- a/src/lycheespool/core/fwd.h
+++ b/src/lycheespool/core/fwd.h
@@ -3,8 +3,8 @@
 namespace lycheespool {
 
 class Counter;
-class Distribution;
 class Error;
+class LatencyHistogram;
 class Metrics;
 
 template <typename Tag, typename Value>
--- a/src/lycheespool/core/metrics.cpp
+++ b/src/lycheespool/core/metrics.cpp
@@ -1,9 +1,10 @@
 #include "lycheespool/core/metrics.h"
 
-#include <fmt/format.h>
+#include "lycheespool/core/event_log.h"
+
+#include <prometheus/text_serializer.h>
 
 #include <fstream>
-#include <iterator>
 #include <sys/resource.h>
 #include <unistd.h>
 
@@ -11,6 +12,23 @@
 
 namespace {
 
+const std::string metricPrefix = "lycheespool_";
+
+// From a local call to the longest wait for room that the bounds of the deployments allow.
+const prometheus::Histogram::BucketBoundaries latencyBucketsMs { 0.5, 1, 2, 5, 10, 20, 50, 100, 200, 500, 1000, 2000,
+    5000, 10'000, 20'000, 60'000 };
+
+prometheus::MetricFamily gaugeFamily(const std::string& name, double value)
+{
+    prometheus::ClientMetric metric;
+    metric.gauge.value = value;
+    prometheus::MetricFamily family;
+    family.name = name;
+    family.type = prometheus::MetricType::Gauge;
+    family.metric.push_back(std::move(metric));
+    return family;
+}
+
 double residentBytes()
 {
     std::ifstream file { "/proc/self/statm" };
@@ -34,13 +52,21 @@
 Counter& Metrics::counter(const std::string& name)
 {
     const std::scoped_lock lock { m_mutex };
-    return m_counters[name];
+    const auto it = m_counters.find(name);
+    if (it != m_counters.end())
+        return it->second;
+    auto& family = prometheus::BuildCounter().Name(metricPrefix + name).Register(m_registry);
+    return m_counters.emplace(name, family.Add({})).first->second;
 }
 
-Distribution& Metrics::distribution(const std::string& name)
+LatencyHistogram& Metrics::histogram(const std::string& name)
 {
     const std::scoped_lock lock { m_mutex };
-    return m_distributions[name];
+    const auto it = m_histograms.find(name);
+    if (it != m_histograms.end())
+        return it->second;
+    auto& family = prometheus::BuildHistogram().Name(metricPrefix + name).Register(m_registry);
+    return m_histograms.emplace(name, family.Add({}, latencyBucketsMs)).first->second;
 }
 
 void Metrics::gauge(const std::string& name, std::function<double()> read)
@@ -51,27 +77,18 @@
 
 std::string Metrics::render() const
 {
+    auto families = m_registry.Collect();
     const std::scoped_lock lock { m_mutex };
-    std::string text;
-    auto out = std::back_inserter(text);
-    for (const auto& [name, counter] : m_counters)
-        fmt::format_to(out, "lycheespool_{} {}\n", name, counter.value());
     for (const auto& [name, read] : m_gauges)
-        fmt::format_to(out, "lycheespool_{} {}\n", name, read());
-    for (const auto& [name, distribution] : m_distributions) {
-        const auto summary = distribution.summary();
-        fmt::format_to(out, "lycheespool_{}{{quantile=\"0.5\"}} {}\n", name, summary.median);
-        fmt::format_to(out, "lycheespool_{}{{quantile=\"0.99\"}} {}\n", name, summary.p99);
-        fmt::format_to(out, "lycheespool_{}_max {}\n", name, summary.max);
-        fmt::format_to(out, "lycheespool_{}_count {}\n", name, summary.count);
-    }
-    return text;
+        families.push_back(gaugeFamily(metricPrefix + name, read()));
+    return prometheus::TextSerializer {}.Serialize(families);
 }
 
 void addProcessGauges(Metrics& metrics)
 {
     metrics.gauge("process_resident_bytes", residentBytes);
     metrics.gauge("process_cpu_seconds_total", processorSeconds);
+    metrics.gauge("log_lines_dropped", [] { return static_cast<double>(droppedEvents()); });
 }
 
 }
--- a/src/lycheespool/core/metrics.h
+++ b/src/lycheespool/core/metrics.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "lycheespool/core/counter.h"
-#include "lycheespool/core/distribution.h"
+#include "lycheespool/core/latency_histogram.h"
+
+#include <prometheus/registry.h>
 
 #include <functional>
 #include <map>
@@ -11,7 +13,7 @@
 namespace lycheespool {
 
 /**
- * @brief Named counters and distributions of one process.
+ * @brief Named counters, latency histograms and gauges of one process, kept by a Prometheus registry.
  *
  * References stay valid for the lifetime of the registry, so a hot path looks a counter up once and keeps it.
  */
@@ -25,11 +27,11 @@
     [[nodiscard]] Counter& counter(const std::string& name);
 
     /**
-     * @brief Finds or makes a distribution.
-     * @param name Name with its unit, as in `request_duration_us`.
-     * @return The distribution.
+     * @brief Finds or makes a latency histogram.
+     * @param name Name that ends with the unit, `_ms`.
+     * @return The histogram.
      */
-    [[nodiscard]] Distribution& distribution(const std::string& name);
+    [[nodiscard]] LatencyHistogram& histogram(const std::string& name);
 
     /**
      * @brief Adds a value that is read when the metrics are rendered.
@@ -40,14 +42,15 @@
 
     /**
      * @brief Renders everything in the Prometheus text format.
-     * @return Lines with the prefix `lycheespool_`.
+     * @return Metric families whose names have the prefix `lycheespool_`.
      */
     [[nodiscard]] std::string render() const;
 
 private:
     mutable std::mutex m_mutex;
+    prometheus::Registry m_registry;
     std::map<std::string, Counter> m_counters;
-    std::map<std::string, Distribution> m_distributions;
+    std::map<std::string, LatencyHistogram> m_histograms;
     std::map<std::string, std::function<double()>> m_gauges;
 };
 
--- a/src/lycheespool/gateway/job_gateway.h
+++ b/src/lycheespool/gateway/job_gateway.h
@@ -71,7 +71,7 @@
         , m_repeated { metrics.counter("jobs_repeated_total") }
         , m_rejected { metrics.counter("jobs_rejected_total") }
         , m_unknown { metrics.counter("jobs_unknown_outcome_total") }
-        , m_acceptMs { metrics.distribution("job_accept_ms") }
+        , m_acceptMs { metrics.histogram("job_accept_ms") }
     {
     }
 
@@ -333,7 +333,7 @@
     Counter& m_repeated;
     Counter& m_rejected;
     Counter& m_unknown;
-    Distribution& m_acceptMs;
+    LatencyHistogram& m_acceptMs;
 };
 
 }
--- a/src/lycheespool/nodeagent/node_agent.h
+++ b/src/lycheespool/nodeagent/node_agent.h
@@ -74,7 +74,7 @@
         , m_reportDue { executor }
         , m_holdDue { executor }
         , m_leaseClock { settings.bounds.maxLease }
-        , m_startMs { metrics.distribution("executor_start_ms") }
+        , m_startMs { metrics.histogram("executor_start_ms") }
         , m_ordersStarted { metrics.counter("orders_started_total") }
         , m_ordersStopped { metrics.counter("orders_stopped_total") }
         , m_ordersUnresolved { metrics.counter("orders_unresolved_total") }
@@ -90,6 +90,9 @@
         spawn(&NodeAgent::holdLoop);
     }
 
+    /*! @copydoc LeaderFinder::setSeeds */
+    void setSeeds(std::vector<Address> seeds) { m_finder.setSeeds(std::move(seeds)); }
+
     /**
      * @brief Takes an announcement of the executor in.
      * @param announcement The announcement.
@@ -470,7 +473,7 @@
     std::uint64_t m_endsStored { 0 };
     std::uint64_t m_newestEnd { 0 };
     bool m_isExecutorSilent { false };
-    Distribution& m_startMs;
+    LatencyHistogram& m_startMs;
     Counter& m_ordersStarted;
     Counter& m_ordersStopped;
     Counter& m_ordersUnresolved;
--- a/src/lycheespool/store/http_table.cpp
+++ b/src/lycheespool/store/http_table.cpp
@@ -47,7 +47,7 @@
     , m_reads { metrics.counter("table_reads_total") }
     , m_writes { metrics.counter("table_writes_total") }
     , m_failures { metrics.counter("table_failures_total") }
-    , m_latency { metrics.distribution("table_duration_us") }
+    , m_latency { metrics.histogram("table_duration_ms") }
 {
 }
 
@@ -95,8 +95,7 @@
         if (m_breaker.isOpen())
             log(LogLevel::info, "table service answers again");
         m_breaker.succeed();
-        const auto elapsed = SteadyClock {}.now() - start;
-        m_latency.record(static_cast<double>(std::chrono::duration_cast<std::chrono::microseconds>(elapsed).count()));
+        m_latency.record(std::chrono::duration<double, std::milli> { SteadyClock {}.now() - start }.count());
         co_return response;
     } catch (const Error&) {
         m_failures.add();
--- a/src/lycheespool/store/http_table.h
+++ b/src/lycheespool/store/http_table.h
@@ -61,7 +61,7 @@
     Counter& m_reads;
     Counter& m_writes;
     Counter& m_failures;
-    Distribution& m_latency;
+    LatencyHistogram& m_latency;
 };
 
 }
