Apply changed settings without a restart

Cause: SIGHUP was logged and nothing was read; the seeds of a process stayed those of its start, and the settings may change with or without a signal. Change: the settings are read each second and at SIGHUP. New seeds take effect at once in the relay of a gateway and the leader search of an agent; other changes are logged as waiting for a restart; settings that are wrong leave the old ones in effect, with one line per reason.

--- a/src/lycheespool/cli/process_runner.h
+++ b/src/lycheespool/cli/process_runner.h
@@ -15,32 +15,65 @@
 /*! @brief Reload of a role whose settings come from flags and the environment, which do not change. */
 inline void keepSettings() { log(LogLevel::info, "SIGHUP: the settings of this role do not change while it runs"); }
 
+/**
+ * @brief Catches SIGTERM, SIGINT and SIGHUP from its construction on.
+ *
+ * A role makes it before anything else: a signal that arrives while the role starts is kept until it runs, instead of
+ * ending the process by the default action.
+ */
+class StopSignals {
+public:
+    StopSignals()
+        : m_signals { m_context, SIGTERM, SIGINT, SIGHUP }
+    {
+    }
+    StopSignals(const StopSignals&) = delete;
+    StopSignals& operator=(const StopSignals&) = delete;
+
+    /**
+     * @brief Blocks until SIGTERM or SIGINT.
+     * @tparam Reload Callable without arguments.
+     * @param reload Called for each SIGHUP, on the calling thread.
+     * @return The signal.
+     */
+    template <typename Reload>
+    [[nodiscard]] int wait(Reload reload)
+    {
+        int received = 0;
+        std::function<void()> waitForSignal = [&] {
+            m_signals.async_wait([&](const boost::system::error_code& ec, int number) {
+                if (!ec && number == SIGHUP) {
+                    reload();
+                    waitForSignal();
+                    return;
+                }
+                received = number;
+            });
+        };
+        waitForSignal();
+        m_context.run();
+        return received;
+    }
+
+private:
+    asio::io_context m_context;
+    asio::signal_set m_signals;
+};
+
 /**
  * @brief Waits for SIGTERM or SIGINT, then drains. SIGHUP reloads the settings.
  * @tparam Drain Callable that gives `Awaitable<bool>`; false says that work was cut.
  * @tparam Reload Callable without arguments.
+ * @param signals Signals of the process.
  * @param pool Threads of the process; its first one runs the drain.
  * @param drain Drains the process.
  * @param reload Called for each SIGHUP, on the calling thread.
  * @return Exit code of the process.
  */
 template <typename Drain, typename Reload = void (*)()>
-[[nodiscard]] ExitCode runUntilSignal(IoPool& pool, Drain drain, Reload reload = keepSettings)
+[[nodiscard]] ExitCode runUntilSignal(StopSignals& signals, IoPool& pool, Drain drain, Reload reload = keepSettings)
 {
-    asio::io_context context;
-    asio::signal_set signals { context, SIGTERM, SIGINT, SIGHUP };
-    std::function<void()> waitForSignal = [&] {
-        signals.async_wait([&](const boost::system::error_code& ec, int number) {
-            if (!ec && number == SIGHUP) {
-                reload();
-                waitForSignal();
-                return;
-            }
-            log(LogLevel::info, "signal {}, draining", number);
-        });
-    };
-    waitForSignal();
-    context.run();
+    log(LogLevel::info, "signal {}, draining", signals.wait(reload));
     auto clean = asio::co_spawn(pool.context(), std::move(drain), asio::use_future);
     const bool finished = clean.get();
     log(LogLevel::info, "drained, {}", finished ? "nothing was cut" : "the timeout cut work in flight");
--- a/src/lycheespool/cli/role_agent.cpp
+++ b/src/lycheespool/cli/role_agent.cpp
@@ -24,12 +24,13 @@
 }
 
 template <Endpoint EndpointType>
-ExitCode runBeside(AgentProcess<EndpointType>& agent, IoPool& pool, const SettingsParser& parser, Metrics& metrics)
+ExitCode runBeside(StopSignals& signals, AgentProcess<EndpointType>& agent, IoPool& pool, const SettingsParser& parser,
+    Metrics& metrics)
 {
     addProcessGauges(metrics);
     agent.start();
     const auto drainTimeout = std::chrono::milliseconds { parser.number("drain-timeout-ms") };
-    return runUntilSignal(pool, [&] { return agent.drain(drainTimeout); });
+    return runUntilSignal(signals, pool, [&] { return agent.drain(drainTimeout); });
 }
 
 void declare(SettingsParser& parser)
@@ -55,7 +56,7 @@
     return settings;
 }
 
-ExitCode runBesideExecutor(const SettingsParser& parser)
+ExitCode runBesideExecutor(StopSignals& signals, const SettingsParser& parser)
 {
     auto settings = readAgentSettings(parser);
     ExecutorEndpointSettings executor;
@@ -70,10 +71,10 @@
     IoPool pool { 1 };
     ExecutorEndpoint endpoint { std::move(executor), metrics };
     AgentProcess<ExecutorEndpoint> agent { pool, std::move(settings), endpoint, metrics };
-    return runBeside(agent, pool, parser, metrics);
+    return runBeside(signals, agent, pool, parser, metrics);
 }
 
-ExitCode runBesideWorker(const SettingsParser& parser)
+ExitCode runBesideWorker(StopSignals& signals, const SettingsParser& parser)
 {
     auto settings = readAgentSettings(parser);
     WorkerSettings worker;
@@ -89,7 +90,7 @@
     AgentProcess<WorkerEndpoint> agent { pool, std::move(settings), endpoint, metrics };
     endpoint.setFreshnessRequest([&agent]() -> Awaitable<> { (void)co_await agent.refresh(); });
     endpoint.start();
-    const auto code = runBeside(agent, pool, parser, metrics);
+    const auto code = runBeside(signals, agent, pool, parser, metrics);
     endpoint.stop();
     return code;
 }
@@ -98,14 +99,15 @@
 
 ExitCode runAgent(const Args& args)
 {
+    StopSignals signals;
     SettingsParser parser { "agent", "Runs beside an executor or a worker and connects it to the entries." };
     declare(parser);
     parser.parse(args);
     const auto kind = parser.text("kind");
     if (kind == "executor")
-        return runBesideExecutor(parser);
+        return runBesideExecutor(signals, parser);
     if (kind == "worker")
-        return runBesideWorker(parser);
+        return runBesideWorker(signals, parser);
     throw Error { ErrorKind::invalidSetting, "setting --kind: '" + kind + "' is not known", "use executor or worker" };
 }
 
--- a/src/lycheespool/cli/role_dev.cpp
+++ b/src/lycheespool/cli/role_dev.cpp
@@ -7,6 +7,7 @@
 
 ExitCode runDev(const Args& args)
 {
+    StopSignals signals;
     SettingsParser parser { "dev", "Runs one entry, agents and emulators in one process on loopback." };
     parser.addText("http", "address for clients and operators", "127.0.0.1:8080");
     parser.addNumber("executors", "number of executors", 3, 1, 16);
@@ -16,7 +17,7 @@
     DevSystem system { pool, parseAddress(parser.required("http")), parser.number("executors"),
         parser.number("workers") };
     system.start();
-    return runUntilSignal(pool, [&] { return system.drain(); });
+    return runUntilSignal(signals, pool, [&] { return system.drain(); });
 }
 
 }
--- a/src/lycheespool/cli/role_entry.cpp
+++ b/src/lycheespool/cli/role_entry.cpp
@@ -8,6 +8,7 @@
 
 ExitCode runEntry(const Args& args)
 {
+    StopSignals signals;
     SettingsParser parser { "entry", "Serves clients and operators over HTTP and agents over RPC." };
     parser.addText("id", "name of this entry, unique in the system", "");
     parser.addText("zone", "availability zone of this VM", "");
@@ -32,7 +33,7 @@
     Metrics metrics;
     EntryProcess entry { pool, std::move(settings), metrics };
     entry.start();
-    return runUntilSignal(pool, [&] { return entry.drain(); });
+    return runUntilSignal(signals, pool, [&] { return entry.drain(); });
 }
 
 }
--- a/src/lycheespool/cli/role_gateway.cpp
+++ b/src/lycheespool/cli/role_gateway.cpp
@@ -7,6 +7,7 @@
 #include "lycheespool/cli/process_runner.h"
 #include "lycheespool/cli/roles.h"
 #include "lycheespool/cluster/operator_watcher.h"
+#include "lycheespool/cluster/settings_reload.h"
 #include "lycheespool/controller/leader_host.h"
 #include "lycheespool/core/event_log.h"
 #include "lycheespool/gateway/job_gateway.h"
@@ -71,6 +72,9 @@
         }
     }
 
+    /*! @brief Replaces the entries that calls are passed on to. */
+    void setSeeds(const std::vector<Address>& seeds) { m_relay.setPeers(seeds); }
+
     [[nodiscard]] Awaitable<bool> drain()
     {
         m_isDraining = true;
@@ -142,6 +146,7 @@
 
 ExitCode runGateway(const Args&)
 {
+    StopSignals signals;
     const auto settings = platform::readSettings();
     startEventLog(settings.node);
     logEvent("started", { { "role", "gateway" }, { "zone", settings.zone }, { "store", settings.store.toString() } });
@@ -152,11 +157,12 @@
         // One thread: the VM has a fraction of a core, and the state needs no locks.
         IoPool pool { 1 };
         GatewayProcess process { pool, settings, metrics };
+        SettingsReload reload { settings, platform::readSettings,
+            [&process](const std::vector<Address>& seeds) { process.setSeeds(seeds); } };
+        asio::co_spawn(pool.context(), reload.run(), asio::detached);
         code = runUntilSignal(
-            pool, [&] { return process.drain(); },
-            [] {
-                logEvent("reloaded", { { "changed", false } });
-            });
+            signals, pool, [&] { return process.drain(); },
+            [&] { asio::post(pool.context(), [&reload] { reload.check(true); }); });
     }
     logEvent("stopped", { { "role", "gateway" }, { "code", static_cast<int>(code) } });
     stopEventLog();
--- a/src/lycheespool/cli/role_node_agent.cpp
+++ b/src/lycheespool/cli/role_node_agent.cpp
@@ -5,6 +5,7 @@
 
 #include "lycheespool/cli/process_runner.h"
 #include "lycheespool/cli/roles.h"
+#include "lycheespool/cluster/settings_reload.h"
 #include "lycheespool/core/error.h"
 #include "lycheespool/core/event_log.h"
 #include "lycheespool/net/http_server.h"
@@ -31,6 +32,7 @@
 
 ExitCode runNodeAgent(const Args&)
 {
+    StopSignals signals;
     const auto settings = platform::readSettings();
     if (!settings.executor || !settings.control)
         throw Error { ErrorKind::invalidSetting, "there is no executor on this VM",
@@ -62,11 +64,12 @@
         agent->start();
         control.start();
         status.start();
+        SettingsReload reload { settings, platform::readSettings,
+            [agent](const std::vector<Address>& seeds) { agent->setSeeds(seeds); } };
+        asio::co_spawn(pool.context(), reload.run(), asio::detached);
         code = runUntilSignal(
-            pool, [&] { return control.drain(drainTime); },
-            [] {
-                logEvent("reloaded", { { "changed", false } });
-            });
+            signals, pool, [&] { return control.drain(drainTime); },
+            [&] { asio::post(pool.context(), [&reload] { reload.check(true); }); });
     }
     logEvent("stopped", { { "role", "node-agent" }, { "code", static_cast<int>(code) } });
     stopEventLog();
--- a/src/lycheespool/cli/role_platform.cpp
+++ b/src/lycheespool/cli/role_platform.cpp
@@ -14,6 +14,7 @@
 
 ExitCode runTable(const Args& args)
 {
+    StopSignals signals;
     SettingsParser parser { "table", "Emulates the platform's table service and object store." };
     parser.addText("http", "address to serve", "127.0.0.1:8090");
     parser.addNumber("threads", "threads", 2, 1, 64);
@@ -22,11 +23,12 @@
     Metrics metrics;
     TableService service { pool, parseAddress(parser.required("http")), metrics };
     service.start();
-    return runUntilSignal(pool, [&] { return service.drain(emulatorDrainTimeout); });
+    return runUntilSignal(signals, pool, [&] { return service.drain(emulatorDrainTimeout); });
 }
 
 ExitCode runExecutor(const Args& args)
 {
+    StopSignals signals;
     SettingsParser parser { "executor", "Emulates an executor with slots." };
     parser.addText("http", "address to serve", "127.0.0.1:8100");
     parser.addNumber("slots", "requests that run at a time", 8, 1, 1024);
@@ -43,7 +45,7 @@
     Metrics metrics;
     ExecutorService service { pool, std::move(settings), metrics };
     service.start();
-    return runUntilSignal(pool, [&] { return service.drain(emulatorDrainTimeout); });
+    return runUntilSignal(signals, pool, [&] { return service.drain(emulatorDrainTimeout); });
 }
 
 }
--- a/src/lycheespool/cli/role_worker.cpp
+++ b/src/lycheespool/cli/role_worker.cpp
@@ -14,6 +14,7 @@
 
 ExitCode runWorker(const Args& args)
 {
+    StopSignals signals;
     SettingsParser parser { "worker", "Emulates a worker that runs tasks." };
     parser.addText("http", "address to serve", "127.0.0.1:8100");
     addCapacitySettings(parser);
@@ -22,7 +23,7 @@
     Metrics metrics;
     WorkerService service { pool, parseAddress(parser.required("http")), readCapacity(parser), metrics };
     service.start();
-    return runUntilSignal(pool, [&] { return service.drain(workerDrainTimeout); });
+    return runUntilSignal(signals, pool, [&] { return service.drain(workerDrainTimeout); });
 }
 
 }
--- a/src/lycheespool/cluster/node_settings.h
+++ b/src/lycheespool/cluster/node_settings.h
@@ -30,6 +30,8 @@
     Duration statusRetention { std::chrono::seconds { 120 } };
     /*! @brief Slowdown of work that is far from its data or spans racks. */
     double remoteFactor { 3.0 };
+
+    friend bool operator==(const ClusterBounds&, const ClusterBounds&) = default;
 };
 
 /*! @brief Settings of a process, as the deployment gives them. */
@@ -55,6 +57,8 @@
     /*! @brief Service of the executor on this VM. */
     std::string service;
     ClusterBounds bounds;
+
+    friend bool operator==(const NodeSettings&, const NodeSettings&) = default;
 };
 
 }
--- a/src/lycheespool/gateway/peer_relay.h
+++ b/src/lycheespool/gateway/peer_relay.h
@@ -11,6 +11,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <map>
 #include <memory>
@@ -48,25 +49,27 @@
      * @param peers Addresses of other entries; may be stale.
      * @param metrics Registry for counters.
      */
-    PeerRelay(const asio::any_io_executor& executor, Address self, std::vector<Address> peers, Metrics& metrics)
+    PeerRelay(const asio::any_io_executor& executor, Address self, const std::vector<Address>& peers, Metrics& metrics)
         : m_executor { executor }
         , m_self { std::move(self) }
         , m_metrics { metrics }
         , m_relayed { metrics.counter("client_calls_relayed_total") }
         , m_failed { metrics.counter("client_calls_relay_failed_total") }
     {
-        for (auto& it : peers)
-            addPeer(std::move(it));
+        setPeers(peers);
     }
 
     /**
-     * @brief Learns of another entry.
-     * @param peer Its address.
+     * @brief Replaces the other entries; connections to those that stay are kept.
+     * @param peers Their addresses; may be stale.
      */
-    void addPeer(Address peer)
+    void setPeers(const std::vector<Address>& peers)
     {
-        if (peer != m_self)
-            m_peers.try_emplace(std::move(peer));
+        std::erase_if(m_peers, [&](const auto& it) { return std::ranges::find(peers, it.first) == peers.end(); });
+        for (const auto& it : peers) {
+            if (it != m_self)
+                m_peers.try_emplace(it);
+        }
     }
 
     /**
@@ -126,13 +129,18 @@
         return addresses;
     }
 
-    void pause(const Address& address) { m_peers[address].pausedUntil = BootClock {}.now() + peerPause; }
+    void pause(const Address& address)
+    {
+        // The peer may be gone since the call was sent.
+        if (const auto it = m_peers.find(address); it != m_peers.end())
+            it->second.pausedUntil = BootClock {}.now() + peerPause;
+    }
 
     [[nodiscard]] Awaitable<std::shared_ptr<RpcConnection>> connectionTo(Address address)
     {
-        auto known = m_peers[address].connection;
-        if (known && known->isOpen())
-            co_return known;
+        const auto known = m_peers.find(address);
+        if (known != m_peers.end() && known->second.connection && known->second.connection->isOpen())
+            co_return known->second.connection;
         auto socket = co_await connectTo(address, connectTimeout);
         if (!socket)
             co_return nullptr;
@@ -144,7 +152,8 @@
                 co_await connection->run(std::move(ignore));
             },
             asio::detached);
-        m_peers[address].connection = connection;
+        if (const auto it = m_peers.find(address); it != m_peers.end())
+            it->second.connection = connection;
         co_return connection;
     }
 
--- a/src/lycheespool/nodeagent/leader_finder.h
+++ b/src/lycheespool/nodeagent/leader_finder.h
@@ -40,6 +40,12 @@
     {
     }
 
+    /**
+     * @brief Replaces the entries that are tried while the store is out of reach.
+     * @param seeds Their addresses.
+     */
+    void setSeeds(std::vector<Address> seeds) { m_seeds = std::move(seeds); }
+
     /**
      * @brief Looks for the leader.
      * @return An address worth trying, or nothing.
--- a/test/lycheespool/gateway/peer_relay.cpp
+++ b/test/lycheespool/gateway/peer_relay.cpp
@@ -32,9 +32,9 @@
     RpcServer m_server;
 };
 
-RelayResult relayTo(IoPool& pool, Metrics& metrics, std::vector<Address> peers, Duration patience = 5s)
+RelayResult relayTo(IoPool& pool, Metrics& metrics, const std::vector<Address>& peers, Duration patience = 5s)
 {
-    PeerRelay relay { pool.context().get_executor(), { "127.0.0.1", 1 }, std::move(peers), metrics };
+    PeerRelay relay { pool.context().get_executor(), { "127.0.0.1", 1 }, peers, metrics };
     const ClientCall call { "POST", "/queue/id", {}, "{}" };
     auto result = asio::co_spawn(pool.context(), relay.relay(call, BootClock {}.now() + patience), asio::use_future);
     return result.get();
