Drop all idle connections to a server when a call on one times out

Cause: connections that stay open can all fall silent at once while new ones work. Each idle connection then cost one call its whole time-out. Ruled out: keep-alive probes, which such connections may still answer. Test: test_net, failed before the change with a second time-out ("no response ... in time").

--- a/src/lycheespool/net/http_client.cpp
+++ b/src/lycheespool/net/http_client.cpp
@@ -69,6 +69,7 @@
     Awaitable<ConnectionPtr> connect(Duration timeout) const;
     ConnectionPtr takeIdle(const asio::any_io_executor& executor);
     void keepIdle(const asio::any_io_executor& executor, ConnectionPtr connection);
+    void dropIdle(const asio::any_io_executor& executor);
 
     Address address;
     std::mutex mutex;
@@ -110,6 +111,12 @@
         connections.push_back(std::move(connection));
 }
 
+void HttpClient::State::dropIdle(const asio::any_io_executor& executor)
+{
+    const std::scoped_lock lock { mutex };
+    idle[&executor.context()].clear();
+}
+
 HttpClient::HttpClient(Address address)
     : m_state { std::make_shared<State>(std::move(address)) }
 {
@@ -141,9 +148,12 @@
                 state->keepIdle(executor, std::move(connection));
             co_return toResponse(std::move(response));
         }
-        if (ec == beast::error::timeout)
+        if (ec == beast::error::timeout) {
+            // Connections can fall silent all at once while new ones work, so the next call must not wait for another.
+            state->dropIdle(executor);
             throw Error { ErrorKind::outcomeUnknown, "no response from " + state->address.toString() + " in time",
                 "ask for the outcome by the same key" };
+        }
         const bool retry = connection->reused && idempotent;
         if (!retry)
             throw Error { ErrorKind::outcomeUnknown,
--- /dev/null
+++ b/test/lycheespool/net/http_client.cpp
@@ -0,0 +1,88 @@
+#include "lycheespool/net/http_client.h"
+
+#include "lycheespool/core/error.h"
+#include "lycheespool/net/io_pool.h"
+#include "lycheespool/net/sleep.h"
+
+#include <doctest/doctest.h>
+
+#include <array>
+#include <atomic>
+#include <future>
+#include <vector>
+
+using namespace lycheespool;
+using namespace std::chrono_literals;
+
+namespace {
+
+/*! @brief Server that answers the first call of each of its first connections only; later connections work. */
+class FallingSilent {
+public:
+    FallingSilent(IoPool& pool, int silentConnections)
+        : m_acceptor { pool.context(), { asio::ip::make_address("127.0.0.1"), 0 } }
+        , m_silentConnections { silentConnections }
+    {
+        asio::co_spawn(pool.context(), acceptLoop(), asio::detached);
+    }
+
+    [[nodiscard]] Address address() const { return { "127.0.0.1", m_acceptor.local_endpoint().port() }; }
+
+private:
+    Awaitable<> acceptLoop()
+    {
+        while (true) {
+            auto socket = co_await m_acceptor.async_accept(asio::use_awaitable);
+            const bool fallsSilent = m_accepted++ < m_silentConnections;
+            asio::co_spawn(m_acceptor.get_executor(), serve(std::move(socket), fallsSilent), asio::detached);
+        }
+    }
+
+    static Awaitable<> serve(asio::ip::tcp::socket socket, bool fallsSilent)
+    {
+        constexpr std::string_view answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+        // Both first calls are under way before one is answered, so that they use two connections.
+        constexpr Duration answerTime = 100ms;
+        std::array<char, 4096> buf {};
+        boost::system::error_code ec;
+        for (int calls = 0; !ec; ++calls) {
+            co_await socket.async_read_some(asio::buffer(buf), asio::redirect_error(asio::use_awaitable, ec));
+            if (ec || (fallsSilent && calls > 0))
+                continue;
+            co_await sleepFor(answerTime);
+            co_await asio::async_write(socket, asio::buffer(answer), asio::redirect_error(asio::use_awaitable, ec));
+        }
+    }
+
+    asio::ip::tcp::acceptor m_acceptor;
+    int m_silentConnections;
+    int m_accepted { 0 };
+};
+
+std::future<HttpResponse> send(IoPool& pool, HttpClient& client, Duration timeout)
+{
+    HttpRequest request;
+    request.method = "POST";
+    request.path = "/";
+    return asio::co_spawn(pool.context(), client.send(std::move(request), timeout), asio::use_future);
+}
+
+}
+
+// Guards against calls that time out one after another: connections that stay open can all fall silent at once, while
+// new ones work.
+TEST_CASE("a call that times out takes the other idle connections with it")
+{
+    IoPool pool { 1 };
+    FallingSilent server { pool, 2 };
+    HttpClient client { server.address() };
+    auto first = send(pool, client, 5s);
+    auto second = send(pool, client, 5s);
+    CHECK(first.get().status == 200);
+    CHECK(second.get().status == 200);
+    auto silent = send(pool, client, 300ms);
+    CHECK_THROWS_AS((void)silent.get(), Error);
+    auto next = send(pool, client, 5s);
+    CHECK(next.get().status == 200);
+    pool.stop();
+}
