Add a fault soak of the real programs

The soak starts gateways and agents as processes, with stand-ins for the store, the executors, clients and the operator, and loopback proxies before the store, the executors and the clients' addresses. A seed decides a sequence of faults that overlap. A referee that sees only what clients and executors see checks the promises while it runs.

--- a/test/lycheespool/cli/request_path.cpp
+++ b/test/lycheespool/cli/request_path.cpp
@@ -120,6 +120,20 @@
     system.agent(0).signal(SIGCONT);
 }
 
+// Guards against a role that serves before it catches signals: a stop right after its first answer killed it.
+TEST_CASE("a role that is told to stop as soon as it serves exits with 0")
+{
+    constexpr int rounds = 20;
+    TestSystem system { 1, 1 };
+    for (int i = 0; i < rounds; ++i) {
+        const Address address { system.executorAddress(0).host, static_cast<std::uint16_t>(8200 + i) };
+        ChildProcess worker { { "worker", "--http", address.toString() } };
+        while (!system.serves(address, "/v1/tasks")) { }
+        worker.signal(SIGTERM);
+        CHECK(worker.wait() == 0);
+    }
+}
+
 // Guards against a role that does not end, or ends with an error, when it is told to stop while idle.
 TEST_CASE("every role exits with 0 on SIGTERM")
 {
--- a/test/lycheespool/cli/test_system.cpp
+++ b/test/lycheespool/cli/test_system.cpp
@@ -40,6 +40,9 @@
         startExecutor(i, serviceTimeUs);
         startAgent(i);
     }
+    // An agent joins whether its executor serves or not, and a request is refused while the executor does not.
+    for (std::size_t i = 0; i < executors; ++i)
+        waitFor("the executor serves", [&] { return serves(executorAddress(i), "/v1/executions"); });
     for (std::size_t i = 0; i < entries; ++i)
         waitFor("all executors joined and the table is read", [&] {
             const auto seen = status(i);
@@ -93,6 +96,15 @@
     return asio::co_spawn(m_pool.context(), client.send(std::move(request), requestTimeout), asio::use_future).get();
 }
 
+bool TestSystem::serves(const Address& address, const std::string& target)
+{
+    try {
+        return send(address, "GET", target).status == 200;
+    } catch (const Error&) {
+        return false;
+    }
+}
+
 void TestSystem::waitFor(const std::string& what, const std::function<bool()>& condition)
 {
     const auto deadline = SteadyClock {}.now() + waitLimit;
@@ -134,7 +146,9 @@
     m_workerAgents.push_back(std::make_unique<ChildProcess>(std::vector<std::string> { "agent", "--kind", "worker",
         "--id", fmt::format("worker-{}", index + 1), "--zone", zone, "--rack", fmt::format("rack-{}", index / 3),
         "--http", host(60 + index) + ":8082", "--endpoint", address, "--entries", seeds() }));
-    waitFor("the worker serves", [&] { return send(workerAddress(index), "GET", "/v1/tasks").status == 200; });
+    waitFor("the worker serves", [&] { return serves(workerAddress(index), "/v1/tasks"); });
+    // A signal that is sent before the agent runs would end it by the default action.
+    waitFor("the agent of the worker serves", [&] { return serves({ host(60 + index), 8082 }, "/healthz"); });
 }
 
 std::optional<std::size_t> TestSystem::leaderOf(std::size_t entries)
--- a/test/lycheespool/cli/test_system.h
+++ b/test/lycheespool/cli/test_system.h
@@ -24,6 +24,9 @@
     HttpResponse send(const Address& address, const std::string& method, const std::string& target,
         const std::string& body = {}, const std::vector<HttpField>& fields = {});
 
+    /*! @brief Tells whether a process answers a GET with status 200. */
+    bool serves(const Address& address, const std::string& target);
+
     /*! @brief Waits until a condition holds; fails the test after a time that no healthy run needs. */
     static void waitFor(const std::string& what, const std::function<bool()>& condition);
 
--- /dev/null
+++ b/test/soak/deployment.cpp
@@ -0,0 +1,230 @@
+#include "soak/deployment.h"
+
+#include "soak/soak_bounds.h"
+
+#include "lycheespool/core/boot_clock.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <csignal>
+#include <fstream>
+#include <unistd.h>
+
+namespace lycheespool::soak {
+
+namespace {
+
+constexpr std::uint16_t frontPort = 8521;
+constexpr std::uint16_t readyPort = 8523;
+constexpr std::uint16_t controlPort = 8526;
+constexpr std::uint16_t messagePort = 7000;
+constexpr std::uint16_t storePort = 8090;
+constexpr std::uint16_t executorPort = 8080;
+// Ports of the proxies, on the addresses of what they stand before.
+constexpr std::uint16_t proxyPort = 9000;
+constexpr std::uint16_t storeProxyPort = 9001;
+constexpr std::size_t storeHost = 9;
+constexpr std::size_t firstGatewayHost = 10;
+constexpr std::size_t firstNodeHost = 40;
+constexpr std::size_t racks = 2;
+const ResourceVector executorCapacity { 16000, 32768, 8 };
+
+std::int64_t toMs(Duration time) { return std::chrono::duration_cast<std::chrono::milliseconds>(time).count(); }
+
+std::string firstConfig()
+{
+    return nlohmann::json {
+        { "version", 1 },
+        { "routes",
+            { { { "name", "queue-a" }, { "host", queueHost }, { "pathPrefix", queuePath }, { "service", "service-a" },
+                { "priority", 0 }, { "maxAttempts", maxAttempts }, { "stretch", 1.5 },
+                { "targetLatencyMs", 1000 } } } },
+        { "services", { { { "name", "service-a" }, { "enforcesCapacity", false } } } },
+        { "tenants", { { { "name", "tenant-a" }, { "apiKeys", { clientKey } }, { "guaranteed", { { "gpu", 4 } } } } } },
+    }
+        .dump();
+}
+
+}
+
+std::string zoneOf(std::size_t index) { return fmt::format("zone-{}", index % zoneCount); }
+
+Member::Member(std::string name, std::string role, std::filesystem::path directory)
+    : m_name { std::move(name) }
+    , m_role { std::move(role) }
+    , m_directory { std::move(directory) }
+{
+}
+
+void Member::start()
+{
+    m_process = std::make_unique<test::ChildProcess>(std::vector<std::string> { m_role },
+        test::ChildOptions { { "LYCHEESPOOL_SETTINGS=" + settingsPath().string() }, m_directory / (m_name + ".log") });
+    m_isEndExpected = false;
+    m_wasPaused = false;
+    m_killAt = TimePoint::max();
+}
+
+void Member::signal(int number)
+{
+    if (number == SIGKILL || number == SIGTERM)
+        m_isEndExpected = true;
+    if (number == SIGSTOP)
+        m_wasPaused = true;
+    if (number == SIGTERM)
+        m_killAt = std::min(m_killAt, BootClock {}.now() + stopGrace);
+    m_process->signal(number);
+}
+
+void Member::keepRunning(Referee& referee)
+{
+    if (BootClock {}.now() > m_killAt) {
+        if (!m_wasPaused)
+            referee.fail(fmt::format("{} did not end after SIGTERM", m_name));
+        m_process->signal(SIGKILL);
+        m_killAt = TimePoint::max();
+    }
+    const auto code = m_process->poll();
+    if (!code)
+        return;
+    if (!m_isEndExpected)
+        referee.fail(fmt::format("{} ended by itself with {}", m_name, *code));
+    start();
+}
+
+void Member::stop()
+{
+    m_process->signal(SIGKILL);
+    (void)m_process->wait();
+}
+
+Deployment::Deployment(IoPool& pool, const DeploymentSettings& settings, Referee& referee)
+    : store { pool,
+        // Runs at the same time use loopback networks of their own.
+        { fmt::format("127.{}.{}.{}", 1 + static_cast<unsigned>(::getpid()) / 256 % 250,
+              static_cast<unsigned>(::getpid()) % 256, storeHost),
+            storePort },
+        settings.seed }
+    , m_pool { pool }
+    , m_settings { settings }
+    , m_referee { referee }
+    , m_net { static_cast<unsigned>(::getpid()) }
+{
+    for (std::size_t i = 0; i < settings.gateways; ++i)
+        addGateway(i);
+    for (std::size_t i = 0; i < settings.executors; ++i)
+        addNode(i);
+}
+
+Address Deployment::addressOf(std::size_t host, std::uint16_t port) const
+{
+    return { fmt::format("127.{}.{}.{}", 1 + m_net / 256 % 250, m_net % 256, host), port };
+}
+
+nlohmann::json Deployment::commonSettings(
+    const std::string& name, const std::string& zone, const std::string& ip, const Address& storeAddress) const
+{
+    return { { "node", name }, { "zone", zone }, { "ip", ip }, { "internalPorts", { messagePort, messagePort + 15 } },
+        { "platform", { { "addr", storeAddress.toString() } } }, { "service", "service-a" },
+        { "bounds",
+            { { "maxHoldMs", toMs(maxLease) }, { "stopTimeoutMs", toMs(stopTime) },
+                { "gangTimeoutMs", toMs(gangAssembly) }, { "restoreMs", toMs(restoreTime) },
+                { "checkpointS", toMs(checkpointInterval) / 1000 }, { "configApplyMs", 3000 },
+                { "graceS", toMs(stopGrace) / 1000 }, { "status_s", 120 }, { "remoteFactor", 3 } } } };
+}
+
+void Deployment::addGateway(std::size_t index)
+{
+    const auto host = firstGatewayHost + index;
+    const auto name = fmt::format("gateway-{}", index);
+    const auto front = addressOf(host, frontPort);
+    Gateway gateway { { name, "gateway", m_settings.directory }, nullptr, nullptr, addressOf(host, proxyPort), {} };
+    gateway.front = std::make_unique<FaultProxy>(m_pool.context(), gateway.clientAddress, front);
+    gateway.store = std::make_unique<FaultProxy>(
+        m_pool.context(), addressOf(host, storeProxyPort), addressOf(storeHost, storePort));
+    gateway.settings = commonSettings(name, zoneOf(index), front.host, addressOf(host, storeProxyPort));
+    gateway.settings["listen"] = { { "front", front.toString() }, { "ready", addressOf(host, readyPort).toString() },
+        { "control", addressOf(host, controlPort).toString() } };
+    gateways.push_back(std::move(gateway));
+}
+
+void Deployment::addNode(std::size_t index)
+{
+    const auto host = firstNodeHost + index;
+    const auto name = fmt::format("node-{}", index);
+    const auto control = addressOf(host, controlPort);
+    Node node { { name, "node-agent", m_settings.directory }, nullptr, nullptr, nullptr, zoneOf(index), {} };
+    const auto executorAddress = addressOf(host, executorPort);
+    node.executor = std::make_unique<ExecutorStandIn>(m_pool,
+        ExecutorPlace { name, node.zone, fmt::format("r{}-{}", index % zoneCount, index / zoneCount % racks),
+            executorAddress, control, executorCapacity },
+        m_referee, m_gangs, m_settings.seed * 1000 + index);
+    node.link = std::make_unique<FaultProxy>(m_pool.context(), addressOf(host, proxyPort), executorAddress);
+    node.store = std::make_unique<FaultProxy>(
+        m_pool.context(), addressOf(host, storeProxyPort), addressOf(storeHost, storePort));
+    node.settings = commonSettings(name, node.zone, control.host, addressOf(host, storeProxyPort));
+    node.settings["listen"] = { { "control", control.toString() } };
+    node.settings["app"] = addressOf(host, proxyPort).toString();
+    nodes.push_back(std::move(node));
+}
+
+void Deployment::rewriteSettings(const Member& member, nlohmann::json settings, std::size_t firstSeed) const
+{
+    nlohmann::json seeds = nlohmann::json::array();
+    for (std::size_t i = 0; i < std::min<std::size_t>(gateways.size(), 3); ++i)
+        seeds.push_back(addressOf(firstGatewayHost + (firstSeed + i) % gateways.size(), controlPort).toString());
+    settings["seeds"] = std::move(seeds);
+    std::ofstream file { member.settingsPath() };
+    file << settings.dump();
+}
+
+Awaitable<> Deployment::start()
+{
+    co_await store.writeForOperator("config", firstConfig());
+    for (auto& it : gateways) {
+        rewriteSettings(it.member, it.settings, 0);
+        it.member.start();
+    }
+    for (auto& it : nodes) {
+        rewriteSettings(it.member, it.settings, 0);
+        it.member.start();
+        it.executor->start(false);
+    }
+}
+
+void Deployment::heal()
+{
+    store.faults = {};
+    for (auto& it : gateways) {
+        it.front->setState(LinkState::open);
+        it.store->setState(LinkState::open);
+        it.member.signal(SIGCONT);
+    }
+    for (auto& it : nodes) {
+        it.link->setState(LinkState::open);
+        it.store->setState(LinkState::open);
+        it.member.signal(SIGCONT);
+        it.executor->faults = {};
+        if (!it.executor->isUp())
+            it.executor->start(false);
+    }
+}
+
+void Deployment::keepRunning()
+{
+    for (auto& it : gateways)
+        it.member.keepRunning(m_referee);
+    for (auto& it : nodes)
+        it.member.keepRunning(m_referee);
+}
+
+void Deployment::stop()
+{
+    for (auto& it : gateways)
+        it.member.stop();
+    for (auto& it : nodes)
+        it.member.stop();
+}
+
+}
--- /dev/null
+++ b/test/soak/fault_proxy.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "lycheespool/core/clock.h"
+#include "lycheespool/net/address.h"
+#include "lycheespool/net/asio.h"
+
+#include <cstdint>
+#include <memory>
+#include <set>
+
+namespace lycheespool::soak {
+
+/*! @brief What a proxy does with connections and bytes. */
+enum class LinkState : std::uint8_t {
+    open,
+    /*! @brief Bytes arrive late. */
+    delayed,
+    /*! @brief Nothing arrives, in both directions; connections stay open. */
+    silent,
+    /*! @brief Requests arrive, answers do not. */
+    oneWay,
+    /*! @brief Connections are reset at once. */
+    refusing,
+};
+
+/*! @brief TCP proxy on loopback that disturbs one link. Lives on one thread. */
+class FaultProxy {
+public:
+    FaultProxy(asio::io_context& context, const Address& listen, Address target);
+
+    void setState(LinkState state);
+    /*! @brief Resets all connections. */
+    void resetAll();
+
+private:
+    using Socket = asio::ip::tcp::socket;
+    struct Link {
+        Socket client;
+        Socket server;
+    };
+    using LinkPtr = std::shared_ptr<Link>;
+
+    [[nodiscard]] Awaitable<> acceptLoop();
+    [[nodiscard]] Awaitable<> serve(LinkPtr link);
+    [[nodiscard]] Awaitable<> pump(LinkPtr link, bool isToServer);
+    [[nodiscard]] bool holdsBack(bool isToServer) const;
+    void close(const LinkPtr& link);
+
+    asio::io_context& m_context;
+    asio::ip::tcp::acceptor m_acceptor;
+    Address m_target;
+    LinkState m_state { LinkState::open };
+    std::set<LinkPtr> m_links;
+};
+
+}
--- /dev/null
+++ b/test/soak/soak_bounds.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "lycheespool/core/clock.h"
+
+#include <chrono>
+#include <cstdint>
+
+namespace lycheespool::soak {
+
+using namespace std::chrono_literals;
+
+// Bounds of a deployment of the kind that the users describe; the processes read them from their settings.
+
+/*! @brief After a disturbance ends, processes act normally within this time. */
+inline constexpr Duration contactTime = 4s;
+inline constexpr Duration drainBound = 3s;
+inline constexpr Duration evacuationBound = 5s;
+inline constexpr Duration cancelBound = 4s;
+/*! @brief An accepted job is shown by every gateway after this time. */
+inline constexpr Duration visibleBound = 3s;
+inline constexpr Duration maxLease = 6s;
+inline constexpr Duration stopTime = 200ms;
+inline constexpr Duration gangAssembly = 4s;
+inline constexpr Duration restoreTime = 250ms;
+inline constexpr Duration checkpointInterval = 1s;
+inline constexpr Duration stopGrace = 6s;
+inline constexpr std::uint32_t maxAttempts = 8;
+/*! @brief Rate of the executors' clocks: the contract allows them to be 2% slow. */
+inline constexpr double executorClockRate = 0.98;
+
+}
--- /dev/null
+++ b/test/soak/store_stand_in.cpp
@@ -0,0 +1,190 @@
+#include "soak/store_stand_in.h"
+
+#include "soak/soak_bounds.h"
+
+#include "lycheespool/core/boot_clock.h"
+
+#include <boost/beast/core/detail/base64.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <iterator>
+
+namespace lycheespool::soak {
+
+namespace {
+
+namespace base64 = boost::beast::detail::base64;
+
+constexpr std::size_t rowsPerPage = 500;
+// Longer than the time-outs of all callers.
+constexpr Duration silence = 60s;
+constexpr std::int64_t shortestLateMs = 500;
+constexpr std::int64_t longestLateMs = 3000;
+
+std::string encode(const std::string& bytes)
+{
+    std::string text(base64::encoded_size(bytes.size()), '\0');
+    text.resize(base64::encode(text.data(), bytes.data(), bytes.size()));
+    return text;
+}
+
+std::string decode(const std::string& text)
+{
+    std::string bytes(base64::decoded_size(text.size()), '\0');
+    bytes.resize(base64::decode(bytes.data(), text.data(), text.size()).first);
+    return bytes;
+}
+
+RowName nameOf(const nlohmann::json& json)
+{
+    return { json.at("table").get<std::string>(), json.value("part", std::string {}),
+        json.at("key").get<std::string>() };
+}
+
+nlohmann::json toJson(const StoredRow& row)
+{
+    nlohmann::json json { { "table", row.name.table }, { "part", row.name.partition }, { "key", row.name.key },
+        { "rowVersion", row.version } };
+    if (row.isRemoved)
+        json["deleted"] = true;
+    else
+        json["value"] = encode(row.value);
+    return json;
+}
+
+RowTransaction toTransaction(const nlohmann::json& json)
+{
+    RowTransaction transaction;
+    for (const auto& it : json.value("expectedRev", nlohmann::json::array()))
+        transaction.conditions.push_back({ nameOf(it), it.value("rowVersion", std::uint64_t { 0 }) });
+    for (const auto& it : json.value("setKeys", nlohmann::json::array()))
+        transaction.writes.push_back({ nameOf(it), decode(it.value("value", std::string {})) });
+    for (const auto& it : json.value("remove", nlohmann::json::array()))
+        transaction.writes.push_back({ nameOf(it), std::nullopt });
+    return transaction;
+}
+
+template <typename Rows>
+HttpResponse answer(const Rows& rows, std::uint64_t version, bool hasMore = false, unsigned status = 200)
+{
+    nlohmann::json list = nlohmann::json::array();
+    std::ranges::transform(rows, std::back_inserter(list), toJson);
+    HttpResponse response;
+    response.status = status;
+    response.body = nlohmann::json { { "rows", list }, { "rowVersion", version }, { "hasMore", hasMore } }.dump();
+    return response;
+}
+
+HttpResponse refusal(unsigned status)
+{
+    HttpResponse response;
+    response.status = status;
+    response.body = "{}";
+    return response;
+}
+
+HttpResponse lostAnswer()
+{
+    HttpResponse response;
+    response.dropConnection = true;
+    return response;
+}
+
+std::uint64_t numberOf(const HttpRequest& request, std::string_view name)
+{
+    const auto text = request.parameter(name, "0");
+    std::uint64_t value = 0;
+    std::from_chars(text.data(), text.data() + text.size(), value);
+    return value;
+}
+
+}
+
+StoreStandIn::StoreStandIn(IoPool& pool, const Address& address, std::uint64_t seed)
+    : m_pool { pool }
+    , m_random { seed }
+    , m_server { pool, address, m_metrics, [this](HttpRequest request) { return serve(std::move(request)); } }
+{
+    m_server.start();
+}
+
+bool StoreStandIn::chance(double share) { return std::uniform_real_distribution<double> {}(m_random) < share; }
+
+Awaitable<> StoreStandIn::writeForOperator(std::string key, std::optional<std::string> value)
+{
+    RowTransaction transaction;
+    transaction.writes.push_back({ { "op", "", std::move(key) }, std::move(value) });
+    (void)co_await m_store.commit(std::move(transaction), Duration {});
+}
+
+Awaitable<HttpResponse> StoreStandIn::serve(HttpRequest request)
+{
+    if (faults.isSilent) {
+        co_await sleepFor(silence);
+        co_return lostAnswer();
+    }
+    if (faults.isDown)
+        co_return refusal(503);
+    if (faults.delay > Duration {})
+        co_await sleepFor(faults.delay);
+    if (request.path == "/v1/rows-tx")
+        co_return co_await commit(std::move(request));
+    if (request.path == "/v1/rows-get")
+        co_return co_await list(std::move(request));
+    if (request.path == "/v1/rows-feed")
+        co_return co_await changes(std::move(request));
+    co_return refusal(404);
+}
+
+Awaitable<HttpResponse> StoreStandIn::commit(HttpRequest request)
+{
+    auto transaction = toTransaction(nlohmann::json::parse(request.body));
+    if (chance(faults.lateWrites)) {
+        asio::co_spawn(m_pool.context(), commitLater(std::move(transaction)), asio::detached);
+        co_return lostAnswer();
+    }
+    const auto result = co_await m_store.commit(std::move(transaction), Duration {});
+    if (chance(faults.lostAnswers))
+        co_return lostAnswer();
+    if (!result.isCommitted)
+        co_return answer(result.current, m_rows.version, false, 412);
+    co_return answer(std::vector<StoredRow> {}, result.version);
+}
+
+Awaitable<> StoreStandIn::commitLater(RowTransaction transaction)
+{
+    const auto delay = std::uniform_int_distribution<std::int64_t> { shortestLateMs, longestLateMs }(m_random);
+    co_await sleepFor(std::chrono::milliseconds { delay });
+    (void)co_await m_store.commit(std::move(transaction), Duration {});
+}
+
+Awaitable<HttpResponse> StoreStandIn::list(HttpRequest request)
+{
+    RowRange range { std::string { request.parameter("table") }, std::string { request.parameter("part") },
+        std::string { request.parameter("from") }, std::string { request.parameter("to") } };
+    auto found = co_await m_store.list(std::move(range), Duration {});
+    const bool hasMore = found.rows.size() > rowsPerPage;
+    if (hasMore)
+        found.rows.resize(rowsPerPage);
+    co_return answer(found.rows, found.version, hasMore);
+}
+
+Awaitable<HttpResponse> StoreStandIn::changes(HttpRequest request)
+{
+    const std::string table { request.parameter("table") };
+    const auto after = numberOf(request, "after");
+    const auto until = BootClock {}.now() + std::chrono::milliseconds { numberOf(request, "waitMs") };
+    while (true) {
+        auto found = co_await m_store.changes(table, after, 5ms, Duration {});
+        // A call that waits when the store goes down is not answered any more.
+        if (faults.isDown || faults.isSilent)
+            co_return lostAnswer();
+        if (found.isHistoryLost)
+            co_return refusal(410);
+        if (!found.rows.empty() || BootClock {}.now() >= until)
+            co_return answer(found.rows, found.version);
+    }
+}
+
+}
