--- a/src/lycheespool/controller/controller.h
+++ b/src/lycheespool/controller/controller.h
@@ -166,6 +166,7 @@
     /*! @brief A step that waits for room, with the tasks that a request stands for. */
     struct WaitingStep {
         QueueRank rank;
+        RankInput input;
         ManagedWorkload* job { nullptr };
         std::uint32_t occurrence { 0 };
         std::uint32_t step { 0 };
--- a/src/lycheespool/controller/controller_planning.cpp
+++ b/src/lycheespool/controller/controller_planning.cpp
@@ -129,12 +129,12 @@
         for (const auto& it : job.progress.at({ occurrence, step, i }).placements)
             ++request.tasksOn[it.node];
     }
-    const auto rank = rankOf({ policy.priority, isGuaranteed, ageMs, objective, remaining });
+    const RankInput input { policy.priority, isGuaranteed, ageMs, objective, remaining };
     if (job.failedNodes.size() <= maxAvoidedNodes)
         request.avoidedNodes = job.failedNodes;
     const auto& waiting = job.round(occurrence, step).waiting;
     request.tasks = static_cast<std::uint32_t>(waiting.size());
-    steps.push_back({ rank, &job, occurrence, step, { waiting.begin(), waiting.end() }, request });
+    steps.push_back({ rankOf(input), input, &job, occurrence, step, { waiting.begin(), waiting.end() }, request });
 }
 
 double Controller::unsavedWork(const RunKey& key, const LiveRun& run, TimePoint now) const
@@ -277,7 +277,9 @@
     }
     logEvent("runs_planned",
         { { "job", job.id }, { "tasks", placed }, { "tier", waiting.rank.tier }, { "slack_ms", waiting.rank.slackMs },
-            { "late", waiting.rank.isLate }, { "gang", spec.isGang }, { "left_waiting", round.waiting.size() },
+            { "late", waiting.rank.isLate }, { "age_ms", waiting.input.ageMs },
+            { "objective_ms", waiting.input.objectiveMs }, { "remaining_ms", waiting.input.remainingMs },
+            { "gang", spec.isGang }, { "left_waiting", round.waiting.size() },
             { "remote_accepted", waiting.request.acceptsRemote }, { "config_version", m_config->version },
             { "epoch", m_epoch.value() } });
 }
