Forecast run times from the queue's runs instead of bare estimates

Change: dispatch/duration_model learns per queue the mean and both spreads; the estimate counts as much as it has proved to tell. Work counts as worthless only when it is so at one standard deviation above the forecast. The stall limit of a task that has not advanced follows the forecast too.

--- a/src/lycheespool/controller/controller.h
+++ b/src/lycheespool/controller/controller.h
@@ -5,6 +5,7 @@
 #include "lycheespool/controller/executor_view.h"
 #include "lycheespool/controller/managed_workload.h"
 #include "lycheespool/core/metrics.h"
+#include "lycheespool/dispatch/duration_model.h"
 #include "lycheespool/dispatch/queue_rank.h"
 #include "lycheespool/dispatch/start_request.h"
 #include "lycheespool/wire/node_messages.h"
@@ -194,6 +195,8 @@
     void loseLifetime(const std::string& node, const Lifetime& lifetime, const std::string& reason);
     void readRunning(ExecutorView& node, const NodeReport& report, const Moment& now);
     void releaseAbsent(ExecutorView& node, const NodeReport& report);
+    void learnDuration(const ManagedWorkload& job, const RunKey& key, const LiveRun& run, const Moment& now);
+    [[nodiscard]] Duration longestRun(const ManagedWorkload& job, const StepSpec& step) const;
     void stopStalled(const RunKey& key, LiveRun& run, const Moment& now);
 
     // Planning.
@@ -202,6 +205,7 @@
     void addWaiting(std::vector<WaitingStep>& steps, ManagedWorkload& job, std::uint32_t occurrence, std::uint32_t step,
         bool isGuaranteed, std::int64_t ageMs);
     [[nodiscard]] bool takesWork(const ExecutorView& node, TimePoint now) const;
+    [[nodiscard]] std::vector<double> chainTimes(const ManagedWorkload& job) const;
     void startRuns(WaitingStep& waiting, const std::vector<std::string>& nodes, const Moment& now);
     [[nodiscard]] double unsavedWork(const RunKey& key, const LiveRun& run, TimePoint now) const;
     [[nodiscard]] RunOrder orderFor(const RunKey& key, const LiveRun& run);
@@ -215,6 +219,7 @@
     std::map<std::string, ManagedWorkload> m_jobs;
     Runs m_runs;
     std::map<std::string, ExecutorView> m_nodes;
+    DurationModel m_durations;
     Counter& m_runsPlanned;
     Counter& m_runsDone;
     Counter& m_runsFailed;
--- a/src/lycheespool/controller/controller_jobs.cpp
+++ b/src/lycheespool/controller/controller_jobs.cpp
@@ -17,18 +17,6 @@
     return names[static_cast<std::size_t>(state)];
 }
 
-/*! @brief Estimates the run time from the start of each step to the end of the job. */
-std::vector<std::int64_t> chainTimes(const JobRequest& request)
-{
-    std::vector<std::int64_t> times(request.steps.size(), 0);
-    for (std::size_t i = times.size(); i-- > 0;) {
-        times[i] += request.steps[i].estimatedMs;
-        for (const auto before : request.steps[i].after)
-            times[before] = std::max(times[before], times[i]);
-    }
-    return times;
-}
-
 }
 
 Controller::Controller(const ControllerSettings& settings, Epoch epoch, TimePoint now, Metrics& metrics)
@@ -72,7 +60,8 @@
     job.rowVersion = rowVersion;
     // A job without a row is stored with its first change, or at once.
     job.storedRevision = rowVersion > 0 ? job.revision : 0;
-    job.chainMs = chainTimes(job.row.request);
+    for (const auto& step : job.row.request.steps)
+        m_durations.addEstimate(job.row.queue, step.estimatedMs);
     auto& added = m_jobs.emplace(id, std::move(job)).first->second;
     adoptTasks(added, now);
     logEvent("job_taken_in",
@@ -98,6 +87,7 @@
             run.node = it.node;
             // The predecessor may or may not have sent the order.
             run.phase = RunPhase::ordered;
+            run.isPartial = true;
             run.charged = steps[position.step].charged();
             run.orderedAt = now;
             if (isEnded(job.progress.state))
--- a/src/lycheespool/controller/controller_planning.cpp
+++ b/src/lycheespool/controller/controller_planning.cpp
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <string_view>
 #include <tuple>
 
@@ -101,15 +102,30 @@
     return waiting;
 }
 
+/*! @brief Forecasts the run time from the start of each step to the end of the job, ms. */
+std::vector<double> Controller::chainTimes(const ManagedWorkload& job) const
+{
+    const auto& steps = job.row.request.steps;
+    std::vector<double> times(steps.size(), 0);
+    for (std::size_t i = times.size(); i-- > 0;) {
+        times[i] += m_durations.forecast(job.row.queue, steps[i].estimatedMs).expectedMs;
+        for (const auto before : steps[i].after)
+            times[before] = std::max(times[before], times[i]);
+    }
+    return times;
+}
+
 void Controller::addWaiting(std::vector<WaitingStep>& steps, ManagedWorkload& job, std::uint32_t occurrence,
     std::uint32_t step, bool isGuaranteed, std::int64_t ageMs)
 {
     const auto& spec = job.row.request.steps[step];
     const auto& policy = policyOf(job);
-    const auto remaining = job.chainMs[step];
-    const auto chain = *std::ranges::max_element(job.chainMs);
+    const auto chain = chainTimes(job);
+    const auto remaining = static_cast<std::int64_t>(chain[step]);
     const auto objective
-        = static_cast<std::int64_t>(policy.stretch * static_cast<double>(chain)) + policy.targetLatencyMs;
+        = static_cast<std::int64_t>(policy.stretch * *std::ranges::max_element(chain)) + policy.targetLatencyMs;
+    const auto forecast = m_durations.forecast(job.row.queue, spec.estimatedMs);
+    const auto uncertainty = std::exp(forecast.spread);
 
     StartRequest request;
     request.perTask = spec.charged();
@@ -129,7 +145,7 @@
         for (const auto& it : job.progress.at({ occurrence, step, i }).placements)
             ++request.tasksOn[it.node];
     }
-    const RankInput input { policy.priority, isGuaranteed, ageMs, objective, remaining };
+    const RankInput input { policy.priority, isGuaranteed, ageMs, objective, remaining, uncertainty };
     if (job.failedNodes.size() <= maxAvoidedNodes)
         request.avoidedNodes = job.failedNodes;
     const auto& waiting = job.round(occurrence, step).waiting;
@@ -268,6 +284,7 @@
         run.plannedRevision = job.revision;
         run.charged = spec.charged();
         run.checkpoint = task.checkpoint;
+        run.isPartial = !task.checkpoint.empty();
         const RunKey key { { job.id, position }, task.lastRun };
         m_runs.emplace(key, std::move(run));
         round.waiting.erase(position.index);
--- a/src/lycheespool/controller/controller_runs.cpp
+++ b/src/lycheespool/controller/controller_runs.cpp
@@ -174,6 +174,8 @@
         const auto& position = key.task.position;
         const bool isGang = job->row.request.steps[position.step].isGang;
         keepCheckpoint(*job, key, end.checkpoint);
+        if (end.kind == RunEndKind::done)
+            learnDuration(*job, key, it->second, now);
         releaseRun(it);
         if (end.kind == RunEndKind::done) {
             m_runsDone.add();
@@ -192,6 +194,17 @@
     node.pendingEnds.push_back({ end.number, job->id, job->revision });
 }
 
+/*! @brief Learns from the first task of each step, so that wide steps do not outweigh the others. */
+void Controller::learnDuration(const ManagedWorkload& job, const RunKey& key, const LiveRun& run, const Moment& now)
+{
+    const auto& step = job.row.request.steps[key.task.position.step];
+    const bool isWhole = run.phase == RunPhase::confirmed && !run.isPartial;
+    if (key.task.position.index != 0 || !isWhole || step.isService)
+        return;
+    const std::chrono::duration<double, std::milli> took = now.steady - run.confirmedAt;
+    m_durations.addRun(job.row.queue, step.estimatedMs, took.count());
+}
+
 void Controller::markDone(ManagedWorkload& job, const TaskPosition& position, const Moment& now)
 {
     const auto& step = job.row.request.steps[position.step];
@@ -421,6 +434,16 @@
         stopStalled(key, run, now);
 }
 
+/*! @brief Gives a run time that few tasks of a step exceed. */
+Duration Controller::longestRun(const ManagedWorkload& job, const StepSpec& step) const
+{
+    // About one of forty tasks takes longer.
+    constexpr double deviations = 2;
+    const auto forecast = m_durations.forecast(job.row.queue, step.estimatedMs);
+    return std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double, std::milli> { forecast.upperMs(deviations) });
+}
+
 void Controller::stopStalled(const RunKey& key, LiveRun& run, const Moment& now)
 {
     const auto node = m_nodes.find(run.node);
@@ -433,11 +456,10 @@
     // Only lists of the executor tell progress; a silent executor says nothing about its tasks.
     const auto sinceChange = std::chrono::milliseconds { node->second.listedAtMs - run.percentListedMs };
     const auto elapsed = std::max<Duration>(now.steady - run.confirmedAt - sinceChange, {});
-    // A task that has advanced is expected to advance by a percent in the mean time it needed so far; one that has not
-    // is given its estimate divided by 10, since estimates are wrong by up to that factor.
+    // A task that has advanced is expected to advance by a percent in the mean time it needed so far; one that has not,
+    // in a hundredth of a run time that few tasks exceed.
     const auto& step = job->row.request.steps[key.task.position.step];
-    const Duration perPercent
-        = run.percent > 0 ? elapsed / run.percent : std::chrono::milliseconds { step.estimatedMs / 10 };
+    const Duration perPercent = run.percent > 0 ? elapsed / run.percent : longestRun(*job, step) / 100;
     const auto limit = std::max<Duration>(m_settings.stallTime, perPercent * 5);
     if (run.percentListedMs == 0 || sinceChange < limit)
         return;
--- a/src/lycheespool/controller/live_run.h
+++ b/src/lycheespool/controller/live_run.h
@@ -52,6 +52,8 @@
     /*! @brief Agent's clock of the first list that showed the percent, ms; 0 before the first list. */
     std::uint64_t percentListedMs { 0 };
     std::string checkpoint;
+    /*! @brief The run resumed saved work or began under another leader, so its run time is not that of the task. */
+    bool isPartial { false };
     /*! @brief When the newest checkpoint was first reported. */
     TimePoint checkpointAt {};
 
--- a/src/lycheespool/controller/managed_workload.h
+++ b/src/lycheespool/controller/managed_workload.h
@@ -36,9 +36,6 @@
     std::uint64_t rowVersion { 0 };
     /*! @brief Nodes on which tasks of the job failed. */
     std::set<std::string> failedNodes;
-    /*! @brief Estimated run time from the start of each step to the end of the job, ms. */
-    std::vector<std::int64_t> chainMs;
-
     [[nodiscard]] StepRound& round(std::uint32_t occurrence, std::uint32_t step)
     {
         return rounds[occurrence * row.request.steps.size() + step];
--- a/src/lycheespool/dispatch/queue_rank.h
+++ b/src/lycheespool/dispatch/queue_rank.h
@@ -16,8 +16,10 @@
     std::int64_t ageMs { 0 };
     /*! @brief Latency objective of the job, ms. */
     std::int64_t objectiveMs { 0 };
-    /*! @brief Estimated run time of the longest chain that is left, ms. */
+    /*! @brief Forecast of the run time of the longest chain that is left, ms. */
     std::int64_t remainingMs { 0 };
+    /*! @brief Factor by which objective and run time may exceed their forecasts, at least 1. */
+    double uncertainty { 1 };
 };
 
 /**
@@ -46,7 +48,10 @@
 [[nodiscard]] inline QueueRank rankOf(const RankInput& input)
 {
     const auto slack = input.objectiveMs - input.ageMs - input.remainingMs;
-    const auto lastUse = worthlessAfterObjectives * input.objectiveMs - input.ageMs - input.remainingMs;
+    // Work of which it is not certain that it comes too late must not be given up.
+    const auto upper
+        = input.uncertainty * static_cast<double>(worthlessAfterObjectives * input.objectiveMs - input.remainingMs);
+    const auto lastUse = static_cast<std::int64_t>(upper) - input.ageMs;
     QueueRank rank;
     rank.isWorthless = lastUse < 0 && !input.isGuaranteed;
     rank.tier = input.isGuaranteed ? 0 : input.priority + 1;
--- a/test/lycheespool/controller/heavy_load.cpp
+++ b/test/lycheespool/controller/heavy_load.cpp
@@ -32,8 +32,18 @@
     { 2, 0.40, 9500, { 5600, 11000, 1 }, 18, false, 3.0, 3000, 1.0, 0.1 },
 };
 
+/*! @brief What a day is played with. */
+struct DayRules {
+    /*! @brief Orders by priority and slack; else by age. */
+    bool isOrdered { true };
+    /*! @brief Learns run times from other jobs of the queue; else each job is alone in its queue. */
+    bool learns { true };
+    /*! @brief Standard deviation of the logarithm of the estimates' errors. */
+    double errorSpread { 0 };
+};
+
 /*! @brief Plays the day and gives the share of the worth that its callers get. */
-double playDay(std::uint64_t seed, bool isOrdered)
+double playDay(std::uint64_t seed, const DayRules& rules)
 {
     std::mt19937_64 random { seed };
     ClusterSimulation simulation { seed, nodeCount, {} };
@@ -46,19 +56,19 @@
             if (!std::bernoulli_distribution { chance }(random))
                 continue;
             JobRow row;
-            row.queue = "queue";
+            const auto id = "job-" + std::to_string(next++);
+            row.queue = rules.learns ? "queue-" + std::to_string(it.priority) : "queue of " + id;
             row.workspace = it.priority == 0 ? "guaranteed" : "other";
             // The plain rule treats all work alike, which orders it by age.
-            row.policy = isOrdered ? QueuePolicy { "service", it.priority, 4, it.stretch, it.targetMs }
-                                   : QueuePolicy { "service", 1, 4, 100.0, 0 };
+            row.policy = rules.isOrdered ? QueuePolicy { "service", it.priority, 4, it.stretch, it.targetMs }
+                                         : QueuePolicy { "service", 1, 4, 100.0, 0 };
             StepSpec step;
             step.tasks = std::uniform_int_distribution<std::uint32_t> { 1, it.maxTasks }(random);
             step.perTask = it.perTask;
             step.isGang = it.isGang;
-            step.estimatedMs
-                = static_cast<std::uint32_t>(it.workMs * std::uniform_int_distribution<int> { 50, 150 }(random) / 100);
+            const auto error = std::exp(std::normal_distribution<double> { 0, 1 }(random)*rules.errorSpread);
+            step.estimatedMs = static_cast<std::uint32_t>(static_cast<double>(it.workMs) * error);
             row.request.steps.push_back(step);
-            const auto id = "job-" + std::to_string(next++);
             classes[id] = &it;
             simulation.submit(id, std::move(row), it.workMs);
         }
@@ -82,17 +92,32 @@
     return earned / owed;
 }
 
+/*! @brief Mean share of the worth over some days. */
+double playDays(const DayRules& rules)
+{
+    constexpr std::uint64_t days = 8;
+    double share = 0;
+    for (std::uint64_t seed = 1; seed <= days; ++seed)
+        share += playDay(seed, rules) / days;
+    return share;
+}
+
 }
 
 TEST_CASE("on a heavy day callers get more from the order by priority and slack than from the order by age")
 {
-    double ordered = 0;
-    double plain = 0;
-    constexpr std::uint64_t days = 8;
-    for (std::uint64_t seed = 1; seed <= days; ++seed) {
-        ordered += playDay(seed, true) / days;
-        plain += playDay(seed, false) / days;
-    }
+    const auto ordered = playDays({});
+    const auto plain = playDays({ .isOrdered = false });
     MESSAGE("share of the worth: ordered " << ordered << ", by age " << plain);
     CHECK(ordered > plain);
 }
+
+// Guards against an order by bare estimates, which gives up work that could still be in time.
+TEST_CASE("wrong estimates cost callers less when run times are learned from the queue")
+{
+    constexpr double errorSpread = 0.9;
+    const auto learned = playDays({ .learns = true, .errorSpread = errorSpread });
+    const auto bare = playDays({ .learns = false, .errorSpread = errorSpread });
+    MESSAGE("share of the worth: learned " << learned << ", bare estimates " << bare);
+    CHECK(learned > bare);
+}
