Give a suspect executor one task at a time, and do not blame a job that goes on elsewhere

Five executors failed everything at once, were therefore always free and drew the same tasks again; since they had failed only this job, the job was blamed and their suspicion lifted. 39 runs failed and one task used up its attempts. Suspects get one task at a time; gangs and tasks that failed before prefer sound ones and use suspects only when the others could never hold them. A job is blamed only when not more of its tasks go on elsewhere than executors failed it. When most executors of a service are suspect, suspicion says nothing and is ignored. Nodes where a job failed are avoided up to a quarter of all (was 6).

--- a/src/lycheespool/controller/controller_planning.cpp
+++ b/src/lycheespool/controller/controller_planning.cpp
@@ -18,8 +18,9 @@
 
 // Thrown-away work is priced with an accelerator counted as this many cores.
 constexpr double coresPerAccelerator = 8;
-// A job that failed on more nodes than this probably fails by its own fault, on any node.
+// A job that failed on more nodes than this, and on more than this share of all, probably fails by its own fault.
 constexpr std::size_t maxAvoidedNodes = 6;
+constexpr std::size_t avoidedNodesOneIn = 4;
 // Guaranteed gangs wait this long for a single rack; they must start within a reclaim bound of about 2.7 s.
 constexpr std::int64_t guaranteedRackWaitMs = 1000;
 // Stopping work of priority 0 costs its caller more than stopping other work.
@@ -97,7 +98,7 @@
         }
     }
     std::ranges::sort(waiting, {}, [](const auto& it) {
-        return std::tuple { it.rank, std::string_view { it.job->id }, it.occurrence, it.step };
+        return std::tuple { it.rank, std::string_view { it.job->id }, it.occurrence, it.step, !it.request.avoidsDoubt };
     });
     return waiting;
 }
@@ -146,11 +147,25 @@
             ++request.tasksOn[it.node];
     }
     const RankInput input { policy.priority, isGuaranteed, ageMs, objective, remaining, uncertainty };
-    if (job.failedNodes.size() <= maxAvoidedNodes)
+    if (job.failedNodes.size() <= std::max(maxAvoidedNodes, m_nodes.size() / avoidedNodesOneIn))
         request.avoidedNodes = job.failedNodes;
+    const auto add = [&](std::vector<std::uint32_t> indices, bool avoidsDoubt) {
+        if (indices.empty())
+            return;
+        request.tasks = static_cast<std::uint32_t>(indices.size());
+        request.avoidsDoubt = avoidsDoubt;
+        steps.push_back({ rankOf(input), input, &job, occurrence, step, std::move(indices), request });
+    };
     const auto& waiting = job.round(occurrence, step).waiting;
-    request.tasks = static_cast<std::uint32_t>(waiting.size());
-    steps.push_back({ rankOf(input), input, &job, occurrence, step, { waiting.begin(), waiting.end() }, request });
+    // A limit per executor holds over all tasks of the step, so they stay in one request.
+    if (spec.isGang || spec.maxPerExecutor > 0)
+        return add({ waiting.begin(), waiting.end() }, false);
+    std::vector<std::uint32_t> fresh;
+    std::vector<std::uint32_t> failed;
+    for (const auto i : waiting)
+        (job.progress.at({ occurrence, step, i }).failures > 0 ? failed : fresh).push_back(i);
+    add(std::move(failed), true);
+    add(std::move(fresh), false);
 }
 
 double Controller::unsavedWork(const RunKey& key, const LiveRun& run, TimePoint now) const
@@ -164,6 +179,14 @@
     return std::max(0.0, seconds) * coresOf(run.charged) * (urgent ? urgentEvictionFactor : 1.0);
 }
 
+NodeTrust Controller::trustOf(const ExecutorView& node, TimePoint now) const
+{
+    if (now < node.suspectUntil)
+        return NodeTrust::suspect;
+    const bool isDoubtful = node.failuresInARow > 0 && now - node.failedAt < m_settings.suspicion;
+    return isDoubtful ? NodeTrust::doubtful : NodeTrust::sound;
+}
+
 std::optional<std::int64_t> Controller::plan(const Moment& now)
 {
     std::optional<std::int64_t> nextDue;
@@ -208,8 +231,9 @@
         room.labels = node.labels;
         room.capacity = node.capacity;
         room.free = node.capacity;
-        room.isSuspect = now.steady < node.suspectUntil;
+        room.trust = trustOf(node, now.steady);
         const auto [busy, returning] = used[node.lifetime];
+        room.isBusy = busy != ResourceVector {};
         room.free -= busy;
         room.returning = returning;
         for (const auto& [key, stray] : node.strays)
@@ -223,6 +247,10 @@
     }
 
     for (auto& [service, nodes] : rooms) {
+        // So many failures have a cause outside of the executors, and nothing would be left to start on.
+        const auto suspects = std::ranges::count(nodes, NodeTrust::suspect, &NodeRoom::trust);
+        if (std::cmp_greater(2 * suspects, nodes.size()))
+            std::ranges::for_each(nodes, [](auto& it) { it.trust = std::min(it.trust, NodeTrust::doubtful); });
         std::vector<std::size_t> positions;
         std::vector<StartRequest> requests;
         for (std::size_t i = 0; i < waiting.size(); ++i) {
--- a/src/lycheespool/controller/controller_runs.cpp
+++ b/src/lycheespool/controller/controller_runs.cpp
@@ -256,12 +256,21 @@
 {
     node.failedJobs.insert(job.id);
     ++node.failuresInARow;
+    node.failedAt = now.steady;
     job.failedNodes.insert(node.node);
     const auto failsOnlyThis = [&](const std::string& name) {
         const auto& failed = m_nodes[name].failedJobs;
         return failed.empty() || (failed.size() == 1 && failed.contains(job.id));
     };
-    if (job.failedNodes.size() >= nodesToBlameJob && std::ranges::all_of(job.failedNodes, failsOnlyThis)) {
+    // Tasks of the job that go on elsewhere show that it can be done; members of a gang only end with the one that
+    // failed.
+    const auto goesOn = std::ranges::count_if(m_runs, [&](const auto& it) {
+        return it.first.task.job == job.id && it.second.phase == RunPhase::confirmed && !it.second.isStopping()
+            && !job.failedNodes.contains(it.second.node) && !job.row.request.steps[it.first.task.position.step].isGang;
+    });
+    const bool mayBeAtFault = std::cmp_less_equal(goesOn, job.failedNodes.size());
+    if (mayBeAtFault && job.failedNodes.size() >= nodesToBlameJob
+        && std::ranges::all_of(job.failedNodes, failsOnlyThis)) {
         for (const auto& it : job.failedNodes) {
             m_nodes[it].failedJobs.clear();
             m_nodes[it].failuresInARow = 0;
--- a/src/lycheespool/controller/executor_view.h
+++ b/src/lycheespool/controller/executor_view.h
@@ -51,6 +51,7 @@
     /*! @brief Jobs that failed here since the last success, unless they failed elsewhere too. */
     std::set<std::string> failedJobs;
     std::size_t failuresInARow { 0 };
+    TimePoint failedAt {};
     TimePoint suspectUntil {};
 };
 
--- a/src/lycheespool/dispatch/node_room.h
+++ b/src/lycheespool/dispatch/node_room.h
@@ -3,6 +3,7 @@
 #include "lycheespool/workload/resource_vector.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -19,6 +20,15 @@
     double unsavedCoreSeconds { 0 };
 };
 
+/*! @brief How far an executor is trusted, by its latest failures. */
+enum class NodeTrust : std::uint8_t {
+    sound,
+    /*! @brief Failed once since its last success, which sound executors do as well. */
+    doubtful,
+    /*! @brief Failed repeatedly, or stalled or did not answer. */
+    suspect,
+};
+
 /*! @brief Capacity of one executor as the planner sees it. */
 struct NodeRoom {
     std::string node;
@@ -30,8 +40,9 @@
     ResourceVector returning;
     /*! @brief False for executors that take no new work. */
     bool isUsable { true };
-    /*! @brief Failed or stalled lately: used only where nothing else fits. */
-    bool isSuspect { false };
+    NodeTrust trust { NodeTrust::sound };
+    /*! @brief Something runs there. */
+    bool isBusy { false };
     std::vector<EvictableRun> evictable;
 };
 
--- a/src/lycheespool/dispatch/start_planner.cpp
+++ b/src/lycheespool/dispatch/start_planner.cpp
@@ -26,16 +26,14 @@
     StartPlan plan;
     for (std::size_t i = 0; i < requests.size(); ++i) {
         const auto& request = requests[i];
-        auto places = find(request, {});
-        if (places.empty())
-            places = find(request, { .withSuspects = true });
+        auto places = findTrusted(request);
         if (!places.empty()) {
             take(request, places);
             plan.starts.push_back({ i, std::move(places) });
             continue;
         }
-        if (request.mayEvict && find(request, { .withSuspects = true, .withReturning = true }).empty()
-            && evictFor(request, plan))
+        const Scope anywhere { .trust = NodeTrust::suspect, .withAvoided = true, .withReturning = true };
+        if (request.mayEvict && find(request, anywhere).empty() && evictFor(request, plan))
             continue;
         reserve(request);
     }
@@ -45,9 +43,9 @@
 bool StartPlanner::isAllowed(const StartRequest& request, std::size_t node, const Scope& scope) const
 {
     const auto& it = m_nodes[node];
-    if (!it.isUsable || m_reserved[node] || (it.isSuspect && !scope.withSuspects))
+    if (!it.isUsable || m_reserved[node] || it.trust > scope.trust)
         return false;
-    if (!scope.withSuspects && request.avoidedNodes.contains(it.node))
+    if (!scope.withAvoided && request.avoidedNodes.contains(it.node))
         return false;
     if (!scope.rack.empty() && it.rack != scope.rack)
         return false;
@@ -63,6 +61,9 @@
     if (scope.withReturning)
         room += it.returning;
     auto copies = std::min<std::int64_t>(request.perTask.copiesIn(room), request.tasks);
+    // One task tells whether a suspect works again.
+    if (it.trust == NodeTrust::suspect && !request.isGang && !scope.whenEmpty)
+        copies = it.isBusy ? 0 : std::min<std::int64_t>(copies, 1);
     if (request.maxPerNode > 0) {
         const auto running = request.tasksOn.find(it.node);
         const std::int64_t present = running == request.tasksOn.end() ? 0 : running->second;
@@ -155,10 +156,30 @@
     return request.isGang ? findGang(request, scope) : findTasks(request, scope);
 }
 
+/*! @brief Looks for room on the executors that are trusted most. */
+StartPlanner::Places StartPlanner::findTrusted(const StartRequest& request) const
+{
+    // The failure of one member ends a whole gang.
+    const bool isCareful = request.isGang || request.avoidsDoubt;
+    Places places;
+    if (isCareful)
+        places = find(request, { .trust = NodeTrust::sound });
+    if (places.empty())
+        places = find(request, {});
+    if (!places.empty())
+        return places;
+    const std::int64_t needed = request.isGang ? request.tasks : 1;
+    if (isCareful && !request.mayEvict && copiesIn(request, { .whenEmpty = true }) >= needed)
+        return places;
+    return find(request, { .trust = NodeTrust::suspect, .withAvoided = true });
+}
+
 void StartPlanner::take(const StartRequest& request, const Places& places)
 {
-    for (const auto node : places)
+    for (const auto node : places) {
         m_nodes[node].free -= request.perTask;
+        m_nodes[node].isBusy = true;
+    }
 }
 
 /*! @brief Keeps the executors that a request waits for from the requests behind it. */
@@ -216,7 +237,7 @@
         std::int64_t copies;
         EvictionChoice choice;
     };
-    const Scope scope { .rack = rack, .withSuspects = true, .whenEmpty = true };
+    const Scope scope { .rack = rack, .trust = NodeTrust::suspect, .withAvoided = true, .whenEmpty = true };
     std::vector<Candidate> candidates;
     for (std::size_t i = 0; i < m_nodes.size(); ++i) {
         // Stopping everything makes the most room; less room may cost less for each task.
--- a/src/lycheespool/dispatch/start_planner.h
+++ b/src/lycheespool/dispatch/start_planner.h
@@ -17,7 +17,9 @@
  * Answers a load of gangs that need whole executors of one rack beside many small tasks. Small tasks fill the fullest
  * executor that has room, so that whole executors stay free. The first requests that find no room reserve the executors
  * that they wait for, so that later ones do not starve them. Guaranteed work stops other runs, those with the least
- * unsaved work first. No clock, no network: the same input gives the same plan.
+ * unsaved work first. An executor that fails fast is always free, so that it would draw and fail task after task:
+ * suspects get one task at a time, and gangs only when the others could never hold them. No clock, no network: the same
+ * input gives the same plan.
  */
 class StartPlanner {
 public:
@@ -46,7 +48,9 @@
     struct Scope {
         /*! @brief Rack to stay on, empty for any. */
         std::string rack {};
-        bool withSuspects { false };
+        NodeTrust trust { NodeTrust::doubtful };
+        /*! @brief Also uses nodes where the request has failed. */
+        bool withAvoided { false };
         /*! @brief Counts room that stopping runs give back. */
         bool withReturning { false };
         /*! @brief Counts the capacity of an empty executor. */
@@ -70,6 +74,7 @@
     [[nodiscard]] Places findGang(const StartRequest& request, Scope scope) const;
     [[nodiscard]] Places findTasks(const StartRequest& request, Scope scope) const;
     [[nodiscard]] Places find(const StartRequest& request, const Scope& scope) const;
+    [[nodiscard]] Places findTrusted(const StartRequest& request) const;
     [[nodiscard]] std::set<std::string> racks() const;
     void take(const StartRequest& request, const Places& places);
     void reserve(const StartRequest& request);
--- a/src/lycheespool/dispatch/start_request.h
+++ b/src/lycheespool/dispatch/start_request.h
@@ -29,6 +29,8 @@
     std::map<std::string, std::uint32_t> tasksOn;
     /*! @brief Nodes where tasks of the job failed; used only where nothing else fits. */
     std::set<std::string> avoidedNodes;
+    /*! @brief The tasks have failed before, so that a further failure may end the job. */
+    bool avoidsDoubt { false };
     /*! @brief The work is within its workspace's guarantee, so that other work is stopped for it. */
     bool mayEvict { false };
 };
--- a/test/lycheespool/controller/controller.cpp
+++ b/test/lycheespool/controller/controller.cpp
@@ -265,3 +265,42 @@
     (void)successor.plan(Fixture::at(5001));
     CHECK(successor.liveRuns().size() == 1);
 }
+
+// Guards against a wide job that is blamed, and fails, because a few executors fail all their tasks at once: such
+// executors are always free and drew the same tasks again.
+TEST_CASE("a job goes on when some executors fail everything that they get")
+{
+    Fixture f;
+    constexpr int nodeCount = 10;
+    constexpr int badNodes = 2;
+    auto row = Fixture::job(nodeCount * 8);
+    row.policy.maxAttempts = 3;
+    f.controller.addJob("job", row, {}, 0, Fixture::at(0).steady);
+    std::vector<NodeReport> reports;
+    for (int i = 0; i < nodeCount; ++i)
+        reports.push_back(f.report(0, "node-" + std::to_string(i)));
+    std::size_t failures = 0;
+    for (std::int64_t ms = 10; ms < 3000; ms += 50) {
+        for (auto& it : reports) {
+            it.sentAtMs = it.listedAtMs = static_cast<std::uint64_t>(ms);
+            f.hear(it, ms);
+        }
+        (void)f.controller.plan(Fixture::at(ms));
+        f.storeAll();
+        for (const auto& [node, batch] : f.controller.takeOrders(Fixture::at(ms))) {
+            const auto index = static_cast<std::size_t>(std::stoi(node.substr(5)));
+            for (const auto& it : batch.orders) {
+                const auto answeredAt = static_cast<std::uint64_t>(ms + 5);
+                f.controller.onOutcome(node, batch.lifetime,
+                    { it.task, it.run, RunOrderResult::started, {}, answeredAt }, Fixture::at(ms + 5));
+                if (index < badNodes)
+                    reports[index].ended.push_back({ ++failures, it.task, it.run, RunEndKind::failed, {} });
+                else
+                    reports[index].running.push_back({ it.task, it.run, {}, 0 });
+            }
+        }
+    }
+    CHECK(f.controller.jobs().at("job").progress.state == WorkloadState::running);
+    // The first tasks, and at most one try of an executor that is suspected.
+    CHECK(failures <= badNodes * (8 + 1));
+}
--- a/test/lycheespool/dispatch/start_planner.cpp
+++ b/test/lycheespool/dispatch/start_planner.cpp
@@ -86,7 +86,7 @@
 TEST_CASE("suspect executors and those where the job failed are used only where nothing else fits")
 {
     auto rooms = nodes(2);
-    rooms[0].isSuspect = true;
+    rooms[0].trust = NodeTrust::suspect;
     CHECK(planOne(rooms, tasks(1, 8)).starts.at(0).nodes.at(0) == 1);
     auto request = tasks(1, 8);
     request.avoidedNodes = { "n1" };
@@ -95,6 +95,49 @@
     CHECK(planOne(rooms, tasks(1, 8)).starts.at(0).nodes.at(0) == 0);
 }
 
+// Guards against an executor that fails at once, is therefore always free, and fails one task after another.
+TEST_CASE("a suspect gets one task at a time")
+{
+    auto rooms = nodes(2);
+    rooms[0].trust = NodeTrust::suspect;
+    rooms[1].free = {};
+    CHECK(planOne(rooms, tasks(8, 1)).starts.at(0).nodes == std::vector<std::size_t> { 0 });
+    rooms[0].isBusy = true;
+    CHECK(planOne(rooms, tasks(8, 1)).starts.empty());
+}
+
+// Guards against attempts that are used up on executors which fail, where one failure ends a whole gang.
+TEST_CASE("gangs and work that failed before wait for trusted executors, unless those could never hold them")
+{
+    auto rooms = nodes(3);
+    rooms[0].trust = NodeTrust::suspect;
+    rooms[1].free.accelerators = 4;
+    CHECK(planOne(rooms, tasks(2, 8, true)).starts.empty());
+    CHECK(planOne(rooms, tasks(3, 8, true)).starts.empty());
+    rooms[1].free = workerCapacity;
+    CHECK(planOne(rooms, tasks(3, 8, true)).starts.size() == 1);
+    auto failed = tasks(1, 8);
+    failed.avoidsDoubt = true;
+    rooms[1].free = {};
+    rooms[2].free = {};
+    CHECK(planOne(rooms, failed).starts.empty());
+    rooms[1].isUsable = false;
+    rooms[2].isUsable = false;
+    CHECK(planOne(rooms, failed).starts.size() == 1);
+}
+
+TEST_CASE("work that must not fail again prefers executors without a failure")
+{
+    auto rooms = nodes(2);
+    rooms[0].trust = NodeTrust::doubtful;
+    rooms[0].free.accelerators = 4;
+    // The fuller executor would be taken first.
+    CHECK(planOne(rooms, tasks(1, 1)).starts.at(0).nodes.at(0) == 0);
+    auto failed = tasks(1, 1);
+    failed.avoidsDoubt = true;
+    CHECK(planOne(rooms, failed).starts.at(0).nodes.at(0) == 1);
+}
+
 TEST_CASE("small tasks fill partly used executors, so that whole ones stay free for gangs")
 {
     auto rooms = nodes(3);
