Let urgent work that would be late stop less important work

Ruled out: reserving room for them (idle most of the time); evicting at once (room often comes back within a second). Change: a step of priority 0 with less than 1 s of slack stops runs of less important queues, the least unsaved work first, up to as much work as its own. Test: test_dispatch (only less important runs, only within the budget).

--- a/src/lycheespool/controller/controller_planning.cpp
+++ b/src/lycheespool/controller/controller_planning.cpp
@@ -25,6 +25,12 @@
 constexpr std::int64_t guaranteedRackWaitMs = 1000;
 // Stopping work of priority 0 costs its caller more than stopping other work.
 constexpr double urgentEvictionFactor = 20;
+// Urgent work stops other work when waiting longer would make it late: a stop takes up to 400 ms and an order some
+// more.
+constexpr std::int64_t preemptionSlackMs = 1000;
+// Most work to throw away for urgent work, as a multiple of its own. On the users' sheets a core-second of urgent work
+// is worth ten to fifty times one of the other queues, whose jobs are repeated and seldom late for it.
+constexpr double preemptionBudget = 1;
 
 double coresOf(const ResourceVector& amount)
 {
@@ -146,6 +152,13 @@
         for (const auto& it : job.progress.at({ occurrence, step, i }).placements)
             ++request.tasksOn[it.node];
     }
+    if (!isGuaranteed && policy.priority == 0 && objective - ageMs - remaining < preemptionSlackMs
+        && objective - ageMs > remaining) {
+        request.mayEvict = true;
+        request.evictsAbove = policy.priority + 1;
+        request.evictionBudget
+            = preemptionBudget * coresOf(request.perTask) * spec.tasks * static_cast<double>(remaining) / 1000.0;
+    }
     const RankInput input { policy.priority, isGuaranteed, ageMs, objective, remaining, uncertainty };
     if (job.failedNodes.size() <= std::max(maxAvoidedNodes, m_nodes.size() / avoidedNodesOneIn))
         request.avoidedNodes = job.failedNodes;
@@ -211,7 +224,8 @@
         const auto& step = job->row.request.steps[key.task.position.step];
         if (guaranteed.contains(key.task.job) || step.isService)
             continue;
-        EvictableRun it { handles.size(), 0, run.charged, unsavedWork(key, run, now.steady) };
+        EvictableRun it { handles.size(), 0, policyOf(*job).priority + 1, run.charged,
+            unsavedWork(key, run, now.steady) };
         if (step.isGang) {
             const std::tuple group { key.task.job, key.task.position.occurrence, key.task.position.step, key.run };
             it.group = groups.try_emplace(group, groups.size() + 1).first->second;
--- a/src/lycheespool/dispatch/node_room.h
+++ b/src/lycheespool/dispatch/node_room.h
@@ -15,6 +15,8 @@
     std::size_t handle { 0 };
     /*! @brief Runs with the same group number stop together; 0 for a run of its own. */
     std::size_t group { 0 };
+    /*! @brief Priority of the run's queue plus one; larger is less important. */
+    std::uint32_t tier { 0 };
     ResourceVector charged;
     /*! @brief Work since the last checkpoint that stopping throws away, over the whole group, in core-seconds. */
     double unsavedCoreSeconds { 0 };
--- a/src/lycheespool/dispatch/start_planner.cpp
+++ b/src/lycheespool/dispatch/start_planner.cpp
@@ -218,6 +218,8 @@
     for (const auto& run : runs) {
         if (request.perTask.copiesIn(room) >= copies)
             break;
+        if (run.tier <= request.evictsAbove)
+            continue;
         room += run.charged;
         choice.cost += run.unsavedCoreSeconds;
         choice.handles.push_back(run.handle);
@@ -273,7 +275,7 @@
     }
     if (!best)
         best = chooseEvictions(request, {});
-    if (!best)
+    if (!best || best->cost > request.evictionBudget)
         return false;
     evict(best->handles, plan);
     for (const auto node : best->nodes)
--- a/src/lycheespool/dispatch/start_request.h
+++ b/src/lycheespool/dispatch/start_request.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <set>
 #include <string>
@@ -33,6 +34,10 @@
     bool avoidsDoubt { false };
     /*! @brief The work is within its workspace's guarantee, so that other work is stopped for it. */
     bool mayEvict { false };
+    /*! @brief Only runs of a higher number, that is of less important queues, are stopped for the work. */
+    std::uint32_t evictsAbove { 0 };
+    /*! @brief Most unsaved work that may be thrown away for it, core-seconds. */
+    double evictionBudget { std::numeric_limits<double>::infinity() };
 };
 
 /*! @brief Room for some tasks of a request. */
--- a/test/lycheespool/dispatch/start_planner.cpp
+++ b/test/lycheespool/dispatch/start_planner.cpp
@@ -138,6 +138,21 @@
     CHECK(planOne(rooms, failed).starts.at(0).nodes.at(0) == 1);
 }
 
+// Guards against urgent work that stops work as important as itself, or more work than it is worth.
+TEST_CASE("urgent work stops only less important runs, within its budget")
+{
+    auto rooms = nodes(1);
+    rooms[0].free = {};
+    rooms[0].evictable = { { 0, 0, 1, workerCapacity, 5 }, { 1, 0, 3, workerCapacity, 50 } };
+    auto urgent = tasks(1, 8);
+    urgent.mayEvict = true;
+    urgent.evictsAbove = 1;
+    urgent.evictionBudget = 100;
+    CHECK(planOne(rooms, urgent).evictions == std::vector<std::size_t> { 1 });
+    urgent.evictionBudget = 40;
+    CHECK(planOne(rooms, urgent).evictions.empty());
+}
+
 TEST_CASE("small tasks fill partly used executors, so that whole ones stay free for gangs")
 {
     auto rooms = nodes(3);
@@ -161,7 +176,7 @@
     auto rooms = nodes(2);
     for (std::size_t i = 0; i < rooms.size(); ++i) {
         rooms[i].free = {};
-        rooms[i].evictable.push_back({ i, 0, workerCapacity, i == 0 ? 50.0 : 5.0 });
+        rooms[i].evictable.push_back({ i, 0, 2, workerCapacity, i == 0 ? 50.0 : 5.0 });
     }
     auto request = tasks(1, 8, true);
     CHECK(planOne(rooms, request).evictions.empty());
@@ -175,7 +190,7 @@
     rooms[0].free = {};
     rooms[0].returning = workerCapacity;
     rooms[1].free = {};
-    rooms[1].evictable.push_back({ 7, 0, workerCapacity, 1.0 });
+    rooms[1].evictable.push_back({ 7, 0, 2, workerCapacity, 1.0 });
     auto request = tasks(1, 8, true);
     request.mayEvict = true;
     CHECK(planOne(rooms, request).evictions.empty());
@@ -186,7 +201,7 @@
     auto rooms = nodes(2);
     for (std::size_t i = 0; i < rooms.size(); ++i) {
         rooms[i].free = {};
-        rooms[i].evictable.push_back({ i, 9, workerCapacity, 1.0 });
+        rooms[i].evictable.push_back({ i, 9, 2, workerCapacity, 1.0 });
     }
     auto request = tasks(1, 8, true);
     request.mayEvict = true;
