Remove the rows of jobs whose state nobody may ask for any more

Ruled out: removal by the gateways (nobody of them knows that no run is left), and progress first (an acceptance without progress would run again). Change: the leader removes acceptance, cancellation and then progress of jobs that ended 1.5 times the promised time ago and have no run left, 16 each 5 s; progress whose acceptance is gone is removed by the next leader. Waits until the feed has passed the lists of the takeover, so that an older change cannot bring a job back.

--- a/src/lycheespool/controller/controller.h
+++ b/src/lycheespool/controller/controller.h
@@ -60,9 +60,11 @@
      * @param progress Bytes of the progress row; empty when there is none yet.
      * @param rowVersion Version of the progress row, 0 when there is none yet.
      * @param now Present time.
+     * @param acceptedVersion Version of the row of the acceptance.
      * @throws Error of kind malformedFrame when the progress is not readable.
      */
-    void addJob(const std::string& id, JobRow row, std::string_view progress, std::uint64_t rowVersion, TimePoint now);
+    void addJob(const std::string& id, JobRow row, std::string_view progress, std::uint64_t rowVersion, TimePoint now,
+        std::uint64_t acceptedVersion = 0);
 
     /**
      * @brief Cancels a job; does nothing when it is unknown or has ended.
@@ -141,6 +143,20 @@
      */
     void stored(const ProgressWrite& write, std::uint64_t rowVersion);
 
+    /**
+     * @brief Finds ended jobs whose state nobody may still ask for, and of which no run is left.
+     * @param now Present time.
+     * @param limit Most jobs.
+     * @return Names of the jobs.
+     */
+    [[nodiscard]] std::vector<std::string> outlived(const Moment& now, std::size_t limit) const;
+
+    /**
+     * @brief Forgets a job whose rows were removed.
+     * @param id Name of the job.
+     */
+    void forget(const std::string& id) { m_jobs.erase(id); }
+
     /**
      * @brief Records the version that a row has in the store.
      * @param job The job.
--- a/src/lycheespool/controller/controller_jobs.cpp
+++ b/src/lycheespool/controller/controller_jobs.cpp
@@ -48,8 +48,8 @@
     return queue ? queue->policy : job.row.policy;
 }
 
-void Controller::addJob(
-    const std::string& id, JobRow row, std::string_view progress, std::uint64_t rowVersion, TimePoint now)
+void Controller::addJob(const std::string& id, JobRow row, std::string_view progress, std::uint64_t rowVersion,
+    TimePoint now, std::uint64_t acceptedVersion)
 {
     if (m_jobs.contains(id))
         return;
@@ -58,6 +58,7 @@
     job.progress = progress.empty() ? JobProgress { row.request } : JobProgress::decode(row.request, progress);
     job.row = std::move(row);
     job.rowVersion = rowVersion;
+    job.acceptedVersion = acceptedVersion;
     // A job without a row is stored with its first change, or at once.
     job.storedRevision = rowVersion > 0 ? job.revision : 0;
     for (const auto& step : job.row.request.steps)
@@ -151,6 +152,23 @@
     }
 }
 
+std::vector<std::string> Controller::outlived(const Moment& now, std::size_t limit) const
+{
+    // Callers may read the state for the promised time; half of it again covers clocks that differ.
+    const auto retention = m_settings.bounds.statusRetention * 3 / 2;
+    std::vector<std::string> ids;
+    for (const auto& [id, job] : m_jobs) {
+        if (ids.size() >= limit)
+            break;
+        const auto age = std::chrono::milliseconds { now.unixMs - job.progress.endedUnixMs };
+        const bool isSettled = isEnded(job.progress.state) && job.revision == job.storedRevision
+            && std::ranges::all_of(job.rounds, [](const auto& it) { return it.live == 0; });
+        if (isSettled && age > retention)
+            ids.push_back(id);
+    }
+    return ids;
+}
+
 void Controller::setRowVersion(const std::string& job, std::uint64_t rowVersion)
 {
     if (auto* const it = findJob(job))
--- a/src/lycheespool/controller/leader_host.h
+++ b/src/lycheespool/controller/leader_host.h
@@ -12,6 +12,7 @@
 #include <limits>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 
@@ -41,6 +42,10 @@
     static constexpr Duration orderTimeout = std::chrono::milliseconds { 4000 };
     /*! @brief Oldest operator state on which a start may rely; well below the time in which changes must apply. */
     static constexpr Duration operatorStateAge = std::chrono::milliseconds { 1600 };
+    /*! @brief Pause between two removals of old rows. */
+    static constexpr Duration cleanUpInterval = std::chrono::seconds { 5 };
+    /*! @brief Jobs whose rows are removed at a time; 12,000 jobs a day need one each 7 s. */
+    static constexpr std::size_t jobsPerCleanUp = 16;
     /*! @brief Rows in one transaction: each needs a condition and a write, and the fence needs one condition. */
     static constexpr std::size_t rowsPerCommit = (maxTransactionEntries - 1) / 2;
 
@@ -140,6 +145,8 @@
                 const auto self = this->shared_from_this();
                 asio::co_spawn(
                     m_executor, [self, term]() -> Awaitable<> { co_await self->termLoop(term); }, asio::detached);
+                asio::co_spawn(
+                    m_executor, [self, term]() -> Awaitable<> { co_await self->cleanUpLoop(term); }, asio::detached);
             } else if (change == LeadershipChange::lost) {
                 ++m_term;
                 m_controller.reset();
@@ -189,11 +196,13 @@
         const auto settled = co_await whenAll(std::move(reads));
         RowList intake;
         intake.version = std::numeric_limits<std::uint64_t>::max();
+        std::uint64_t newestVersion = 0;
         for (const auto& it : settled) {
             if (it.error)
                 std::rethrow_exception(it.error);
             // The feed continues from the oldest list, so that no change falls between two lists.
             intake.version = std::min(intake.version, it.value.version);
+            newestVersion = std::max(newestVersion, it.value.version);
             if (&it != &settled.back())
                 std::ranges::copy(it.value.rows, std::back_inserter(intake.rows));
         }
@@ -218,6 +227,9 @@
         }
         for (const auto& it : intake.rows)
             takeCancel(it, now);
+        findOrphans(intake, progress);
+        m_listedVersion = newestVersion;
+        m_followedVersion = 0;
         logEvent("state_rebuilt",
             { { "epoch", m_leadership.epoch().value() }, { "jobs", m_controller->jobs().size() },
                 { "runs", m_controller->liveRuns().size() }, { "store_version", intake.version } });
@@ -225,6 +237,20 @@
         co_return intake.version;
     }
 
+    /*! @brief Finds progress whose acceptance a predecessor removed before it came to the progress. */
+    void findOrphans(const RowList& intake, const RowList& progress)
+    {
+        // By key, so that an acceptance which is not readable keeps its progress.
+        std::set<std::string> accepted;
+        for (const auto& it : intake.rows)
+            accepted.insert(it.name.key);
+        m_orphans.clear();
+        for (const auto& it : progress.rows) {
+            if (!accepted.contains(std::string { RowNames::jobPrefix } + it.name.key))
+                m_orphans.push_back({ it.name, it.version });
+        }
+    }
+
     [[nodiscard]] Awaitable<RowList> readShard(unsigned shard)
     {
         RowRange range { std::string { RowNames::intakeTable }, m_names.intakePartition(shard), {}, {} };
@@ -241,6 +267,7 @@
         }
         if (m_term != term || !m_controller)
             co_return changes.version;
+        m_followedVersion = std::max(after, changes.version);
         const auto now = moment();
         for (const auto& it : changes.rows) {
             if (it.isRemoved || !it.name.key.starts_with(RowNames::jobPrefix))
@@ -259,7 +286,7 @@
     {
         try {
             auto job = unpackValue<JobRow>(row.value);
-            m_controller->addJob(id, std::move(job), progress, version, now.steady);
+            m_controller->addJob(id, std::move(job), progress, version, now.steady, row.version);
         } catch (const Error& error) {
             logEvent("job_row_unreadable", { { "job", id }, { "version", row.version }, { "reason", error.what() } });
         }
@@ -271,6 +298,71 @@
             m_controller->cancelJob(row.name.key.substr(RowNames::cancelPrefix.size()), now);
     }
 
+    /*! @brief Removes rows that nobody needs any more, a few at a time, so that the store and the memory stay bounded.
+     */
+    [[nodiscard]] Awaitable<> cleanUpLoop(std::uint64_t term)
+    {
+        while (m_term == term) {
+            co_await sleepFor(cleanUpInterval);
+            const auto now = moment();
+            // A change that was listed already must not bring a job back that is removed here.
+            const bool isCaughtUp = m_followedVersion >= m_listedVersion;
+            if (m_term != term || !m_controller || !isCaughtUp || !m_leadership.isHeld(now.steady))
+                continue;
+            try {
+                const auto orphans = std::exchange(m_orphans, {});
+                for (const auto& it : orphans)
+                    co_await removeOrphan(it);
+                if (m_term != term || !m_controller)
+                    co_return;
+                const auto ended = m_controller->outlived(now, jobsPerCleanUp);
+                for (const auto& it : ended) {
+                    co_await removeRows(it);
+                    if (m_term != term || !m_controller)
+                        co_return;
+                    m_controller->forget(it);
+                }
+            } catch (const Error& error) {
+                logEvent("clean_up_failed", { { "epoch", m_leadership.epoch().value() }, { "reason", error.what() } });
+            }
+        }
+    }
+
+    /**
+     * @brief Removes the rows of an ended job. The acceptance goes first: progress without it is only an orphan, while
+     * an acceptance without progress would be run again.
+     */
+    [[nodiscard]] Awaitable<> removeRows(std::string id)
+    {
+        const auto& job = m_controller->jobs().at(id);
+        const auto progressVersion = job.rowVersion;
+        RowTransaction acceptance;
+        acceptance.conditions.push_back({ m_names.job(id), job.acceptedVersion });
+        acceptance.writes.push_back({ m_names.job(id), std::nullopt });
+        if (job.progress.state == WorkloadState::cancelled)
+            acceptance.writes.push_back({ m_names.cancel(id), std::nullopt });
+        // A condition that fails says that an attempt without an answer has removed the row.
+        const auto removed = co_await m_store.commit(std::move(acceptance), answerTimeout);
+        RowTransaction progress;
+        progress.conditions.push_back(m_leadership.fence());
+        progress.conditions.push_back({ m_names.progress(id), progressVersion });
+        progress.writes.push_back({ m_names.progress(id), std::nullopt });
+        const auto cleared = co_await m_store.commit(std::move(progress), answerTimeout);
+        logEvent("job_removed",
+            { { "job", id }, { "acceptance", removed.isCommitted }, { "progress", cleared.isCommitted },
+                { "epoch", m_leadership.epoch().value() } });
+    }
+
+    /*! @brief Removes a row whose job is gone. */
+    [[nodiscard]] Awaitable<> removeOrphan(RowCondition row)
+    {
+        RowTransaction transaction;
+        transaction.conditions.push_back(row);
+        transaction.writes.push_back({ row.name, std::nullopt });
+        const auto removed = co_await m_store.commit(std::move(transaction), answerTimeout);
+        logEvent("orphan_removed", { { "row", row.name.key }, { "removed", removed.isCommitted } });
+    }
+
     [[nodiscard]] Awaitable<> workLoop()
     {
         while (true) {
@@ -403,6 +495,10 @@
     std::uint64_t m_term { 0 };
     std::map<std::string, std::shared_ptr<RpcConnection>> m_connections;
     bool m_hasMore { false };
+    /*! @brief Newest version of the lists that the state was rebuilt from, and of the changes taken in since. */
+    std::uint64_t m_listedVersion { 0 };
+    std::uint64_t m_followedVersion { 0 };
+    std::vector<RowCondition> m_orphans;
     bool m_isIntakeDown { false };
     LatencyHistogram& m_commitMs;
     Counter& m_takeovers;
--- a/src/lycheespool/controller/managed_workload.h
+++ b/src/lycheespool/controller/managed_workload.h
@@ -34,6 +34,8 @@
     std::uint64_t storedRevision { 0 };
     /*! @brief Version of the progress row. */
     std::uint64_t rowVersion { 0 };
+    /*! @brief Version of the row that the entry wrote at the acceptance; that row never changes. */
+    std::uint64_t acceptedVersion { 0 };
     /*! @brief Nodes on which tasks of the job failed. */
     std::set<std::string> failedNodes;
     [[nodiscard]] StepRound& round(std::uint32_t occurrence, std::uint32_t step)
--- a/test/lycheespool/controller/controller.cpp
+++ b/test/lycheespool/controller/controller.cpp
@@ -337,3 +337,26 @@
     // The first tasks, and at most one try of an executor that is suspected.
     CHECK(failures <= badNodes * (8 + 1));
 }
+
+// Guards against memory that grows with each job that ever ran, and against a state that is forgotten while callers may
+// still ask for it.
+TEST_CASE("an ended job is given up only after its state was readable as long as promised")
+{
+    Fixture f;
+    const auto run = f.startOne(10);
+    auto report = f.report(100);
+    report.ended = { { 1, run.task, run.run, RunEndKind::done, {} } };
+    f.hear(report, 100);
+    const auto retention = std::chrono::duration_cast<std::chrono::milliseconds>(ClusterBounds {}.statusRetention);
+    const auto late = Fixture::at(100 + 2 * retention.count());
+    CHECK(f.controller.outlived(late, 10).empty());
+    f.storeAll();
+    CHECK(f.controller.outlived(Fixture::at(100 + retention.count()), 10).empty());
+    CHECK(f.controller.outlived(late, 10) == std::vector<std::string> { "job" });
+    f.controller.forget("job");
+    CHECK(f.controller.jobs().empty());
+    // Its end may still be listed; it is acknowledged and starts nothing.
+    f.hear(report, 200);
+    CHECK(f.controller.endsStored("node-0") == 1);
+    CHECK(f.controller.outlived(late, 10).empty());
+}
--- a/test/soak/soak_bounds.h
+++ b/test/soak/soak_bounds.h
@@ -24,6 +24,8 @@
 inline constexpr Duration restoreTime = 250ms;
 inline constexpr Duration checkpointInterval = 1s;
 inline constexpr Duration stopGrace = 6s;
+/*! @brief Short, so that the removal of old rows takes place during a run; clients ask each 0.7 s. */
+inline constexpr Duration statusRetention = 10s;
 inline constexpr std::uint32_t maxAttempts = 8;
 /*! @brief Rate of the executors' clocks: the contract allows them to be 2% slow. */
 inline constexpr double executorClockRate = 0.98;
