Move trust and stalls of Controller, and the removal of rows, to files of their own

No change of behaviour but one more check of the term before each removal. Test: test_controller plays removals against the store in memory (late, half-way, readable acceptance).

--- a/src/lycheespool/controller/controller_planning.cpp
+++ b/src/lycheespool/controller/controller_planning.cpp
@@ -192,14 +192,6 @@
     return std::max(0.0, seconds) * coresOf(run.charged) * (urgent ? urgentEvictionFactor : 1.0);
 }
 
-NodeTrust Controller::trustOf(const ExecutorView& node, TimePoint now) const
-{
-    if (now < node.suspectUntil)
-        return NodeTrust::suspect;
-    const bool isDoubtful = node.failuresInARow > 0 && now - node.failedAt < m_settings.suspicion;
-    return isDoubtful ? NodeTrust::doubtful : NodeTrust::sound;
-}
-
 std::optional<std::int64_t> Controller::plan(const Moment& now)
 {
     std::optional<std::int64_t> nextDue;
--- a/src/lycheespool/controller/fwd.h
+++ b/src/lycheespool/controller/fwd.h
@@ -3,9 +3,10 @@
 namespace lycheespool {
 
 class Controller;
-class ExecutorView;
 
 struct ControllerSettings;
+struct EndedJobRows;
+struct ExecutorView;
 struct LiveRun;
 struct ManagedWorkload;
 
--- a/src/lycheespool/controller/leader_host.h
+++ b/src/lycheespool/controller/leader_host.h
@@ -3,6 +3,7 @@
 #include "lycheespool/cluster/operator_watcher.h"
 #include "lycheespool/controller/controller.h"
 #include "lycheespool/controller/leadership.h"
+#include "lycheespool/controller/row_cleaner.h"
 #include "lycheespool/net/rpc_connection.h"
 #include "lycheespool/net/wake_up.h"
 #include "lycheespool/net/when_all.h"
@@ -12,7 +13,6 @@
 #include <limits>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <utility>
 
@@ -67,6 +67,7 @@
         , m_names { names }
         , m_settings { settings }
         , m_metrics { metrics }
+        , m_cleaner { store, names }
         , m_leadership { store, std::move(names), std::move(self) }
         , m_wakeUp { executor }
         , m_commitMs { metrics.histogram("progress_commit_ms") }
@@ -227,7 +228,7 @@
         }
         for (const auto& it : intake.rows)
             takeCancel(it, now);
-        findOrphans(intake, progress);
+        m_orphans = findOrphans(intake, progress);
         m_listedVersion = newestVersion;
         m_followedVersion = 0;
         logEvent("state_rebuilt",
@@ -237,20 +238,6 @@
         co_return intake.version;
     }
 
-    /*! @brief Finds progress whose acceptance a predecessor removed before it came to the progress. */
-    void findOrphans(const RowList& intake, const RowList& progress)
-    {
-        // By key, so that an acceptance which is not readable keeps its progress.
-        std::set<std::string> accepted;
-        for (const auto& it : intake.rows)
-            accepted.insert(it.name.key);
-        m_orphans.clear();
-        for (const auto& it : progress.rows) {
-            if (!accepted.contains(std::string { RowNames::jobPrefix } + it.name.key))
-                m_orphans.push_back({ it.name, it.version });
-        }
-    }
-
     [[nodiscard]] Awaitable<RowList> readShard(unsigned shard)
     {
         RowRange range { std::string { RowNames::intakeTable }, m_names.intakePartition(shard), {}, {} };
@@ -309,18 +296,21 @@
             const bool isCaughtUp = m_followedVersion >= m_listedVersion;
             if (m_term != term || !m_controller || !isCaughtUp || !m_leadership.isHeld(now.steady))
                 continue;
+            const auto orphans = std::exchange(m_orphans, {});
+            const auto ended = m_controller->outlived(now, jobsPerCleanUp);
             try {
-                const auto orphans = std::exchange(m_orphans, {});
                 for (const auto& it : orphans)
-                    co_await removeOrphan(it);
-                if (m_term != term || !m_controller)
-                    co_return;
-                const auto ended = m_controller->outlived(now, jobsPerCleanUp);
-                for (const auto& it : ended) {
-                    co_await removeRows(it);
+                    co_await m_cleaner.removeOrphan(it);
+                for (const auto& id : ended) {
+                    if (m_term != term || !m_controller)
+                        co_return;
+                    const auto& job = m_controller->jobs().at(id);
+                    EndedJobRows rows { id, job.acceptedVersion, job.rowVersion,
+                        job.progress.state == WorkloadState::cancelled };
+                    co_await m_cleaner.remove(std::move(rows), m_leadership.fence());
                     if (m_term != term || !m_controller)
                         co_return;
-                    m_controller->forget(it);
+                    m_controller->forget(id);
                 }
             } catch (const Error& error) {
                 logEvent("clean_up_failed", { { "epoch", m_leadership.epoch().value() }, { "reason", error.what() } });
@@ -328,41 +318,6 @@
         }
     }
 
-    /**
-     * @brief Removes the rows of an ended job. The acceptance goes first: progress without it is only an orphan, while
-     * an acceptance without progress would be run again.
-     */
-    [[nodiscard]] Awaitable<> removeRows(std::string id)
-    {
-        const auto& job = m_controller->jobs().at(id);
-        const auto progressVersion = job.rowVersion;
-        RowTransaction acceptance;
-        acceptance.conditions.push_back({ m_names.job(id), job.acceptedVersion });
-        acceptance.writes.push_back({ m_names.job(id), std::nullopt });
-        if (job.progress.state == WorkloadState::cancelled)
-            acceptance.writes.push_back({ m_names.cancel(id), std::nullopt });
-        // A condition that fails says that an attempt without an answer has removed the row.
-        const auto removed = co_await m_store.commit(std::move(acceptance), answerTimeout);
-        RowTransaction progress;
-        progress.conditions.push_back(m_leadership.fence());
-        progress.conditions.push_back({ m_names.progress(id), progressVersion });
-        progress.writes.push_back({ m_names.progress(id), std::nullopt });
-        const auto cleared = co_await m_store.commit(std::move(progress), answerTimeout);
-        logEvent("job_removed",
-            { { "job", id }, { "acceptance", removed.isCommitted }, { "progress", cleared.isCommitted },
-                { "epoch", m_leadership.epoch().value() } });
-    }
-
-    /*! @brief Removes a row whose job is gone. */
-    [[nodiscard]] Awaitable<> removeOrphan(RowCondition row)
-    {
-        RowTransaction transaction;
-        transaction.conditions.push_back(row);
-        transaction.writes.push_back({ row.name, std::nullopt });
-        const auto removed = co_await m_store.commit(std::move(transaction), answerTimeout);
-        logEvent("orphan_removed", { { "row", row.name.key }, { "removed", removed.isCommitted } });
-    }
-
     [[nodiscard]] Awaitable<> workLoop()
     {
         while (true) {
@@ -489,6 +444,7 @@
     RowNames m_names;
     ControllerSettings m_settings;
     Metrics& m_metrics;
+    RowCleaner<Store> m_cleaner;
     Leadership<Store> m_leadership;
     WakeUp m_wakeUp;
     std::unique_ptr<Controller> m_controller;
