--- a/src/lycheespool/controller/controller_planning.cpp
+++ b/src/lycheespool/controller/controller_planning.cpp
@@ -28,8 +28,8 @@
 // Urgent work stops other work when waiting longer would make it late: a stop takes up to 400 ms and an order some
 // more.
 constexpr std::int64_t preemptionSlackMs = 1000;
-// Most work to throw away for urgent work, as a multiple of its own. On the users' sheets a core-second of urgent work
-// is worth ten to fifty times one of the other queues, whose jobs are repeated and seldom late for it.
+// Most work to throw away for urgent work, as a multiple of its own. On the deployments served so far a core-second of
+// urgent work is worth ten to fifty times one of the other queues, whose jobs are repeated and seldom late for it.
 constexpr double preemptionBudget = 1;
 
 double coresOf(const ResourceVector& amount)
@@ -152,8 +152,9 @@
         for (const auto& it : job.progress.at({ occurrence, step, i }).placements)
             ++request.tasksOn[it.node];
     }
-    if (!isGuaranteed && policy.priority == 0 && objective - ageMs - remaining < preemptionSlackMs
-        && objective - ageMs > remaining) {
+    const auto slack = objective - ageMs - remaining;
+    const bool isAboutToBeLate = slack > 0 && slack < preemptionSlackMs;
+    if (!isGuaranteed && policy.priority == 0 && isAboutToBeLate) {
         request.mayEvict = true;
         request.evictsAbove = policy.priority + 1;
         request.evictionBudget
--- a/src/lycheespool/dispatch/fwd.h
+++ b/src/lycheespool/dispatch/fwd.h
@@ -2,6 +2,10 @@
 
 namespace lycheespool {
 
+class DurationModel;
+class StartPlanner;
+
+struct DurationForecast;
 struct EvictableRun;
 struct NodeRoom;
 struct StartPlan;
--- a/src/lycheespool/dispatch/node_room.h
+++ b/src/lycheespool/dispatch/node_room.h
@@ -9,7 +9,7 @@
 
 namespace lycheespool {
 
-/*! @brief A running task that may be stopped in favour of guaranteed work. */
+/*! @brief A running task that may be stopped in favour of guaranteed or more urgent work. */
 struct EvictableRun {
     /*! @brief Caller's handle of the run. */
     std::size_t handle { 0 };
--- a/src/lycheespool/dispatch/start_request.h
+++ b/src/lycheespool/dispatch/start_request.h
@@ -32,7 +32,8 @@
     std::set<std::string> avoidedNodes;
     /*! @brief The tasks have failed before, so that a further failure may end the job. */
     bool avoidsDoubt { false };
-    /*! @brief The work is within its workspace's guarantee, so that other work is stopped for it. */
+    /*! @brief Other work may be stopped: the work is within its workspace's guarantee, or urgent and about to be late.
+     */
     bool mayEvict { false };
     /*! @brief Only runs of a higher number, that is of less important queues, are stopped for the work. */
     std::uint32_t evictsAbove { 0 };
