Report a process that the soak cannot start again

Ruled out: a full disk (73 GB free), colliding addresses, a hang of the gateways (they were not running). Change: the failure is a violation of its own and the supervision goes on.

--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -9,6 +9,7 @@
 #include <tclap/CmdLine.h>
 
 #include <cstdlib>
+#include <exception>
 #include <filesystem>
 #include <fstream>
 #include <iostream>
@@ -30,11 +31,17 @@
     std::string summary;
 };
 
-Awaitable<> supervise(Deployment& deployment)
+Awaitable<> supervise(Deployment& deployment, Referee& referee)
 {
     while (true) {
         co_await sleepFor(superviseInterval);
-        deployment.keepRunning();
+        try {
+            deployment.keepRunning();
+        } catch (const std::exception& error) {
+            // The program cannot be started while a build replaces it; without this line the run would only show jobs
+            // that never end.
+            referee.fail(fmt::format("a process could not be started again: {}", error.what()));
+        }
     }
 }
 
@@ -42,7 +49,7 @@
 {
     co_await deployment.start();
     const auto executor = co_await asio::this_coro::executor;
-    asio::co_spawn(executor, supervise(deployment), asio::detached);
+    asio::co_spawn(executor, supervise(deployment, referee), asio::detached);
     asio::co_spawn(executor, clients.run(), asio::detached);
     co_await sleepFor(calmStart);
     co_await chaos.run(length);
