--- a/src/lycheespool/controller/leader_host.h
+++ b/src/lycheespool/controller/leader_host.h
@@ -67,7 +67,7 @@
         , m_names { names }
         , m_settings { settings }
         , m_metrics { metrics }
-        , m_cleaner { store, names }
+        , m_cleaner { store, names, answerTimeout }
         , m_leadership { store, std::move(names), std::move(self) }
         , m_wakeUp { executor }
         , m_commitMs { metrics.histogram("progress_commit_ms") }
--- a/src/lycheespool/controller/row_cleaner.h
+++ b/src/lycheespool/controller/row_cleaner.h
@@ -6,7 +6,6 @@
 
 #include <nlohmann/json.hpp>
 
-#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <set>
@@ -52,17 +51,16 @@
 template <RowStore Store>
 class RowCleaner {
 public:
-    /*! @brief Longest time for an answer of the store. */
-    static constexpr Duration answerTimeout = std::chrono::milliseconds { 1500 };
-
     /**
      * @brief Makes a cleaner.
      * @param store The store; must outlive the cleaner.
      * @param names Names of the rows.
+     * @param answerTimeout Longest time for an answer of the store.
      */
-    RowCleaner(Store& store, RowNames names)
+    RowCleaner(Store& store, RowNames names, Duration answerTimeout)
         : m_store { store }
         , m_names { std::move(names) }
+        , m_answerTimeout { answerTimeout }
     {
     }
 
@@ -81,12 +79,12 @@
         if (rows.hasCancellation)
             acceptance.writes.push_back({ m_names.cancel(rows.id), std::nullopt });
         // A condition that fails says that an attempt without an answer has removed the row.
-        const auto accepted = co_await m_store.commit(std::move(acceptance), answerTimeout);
+        const auto accepted = co_await m_store.commit(std::move(acceptance), m_answerTimeout);
         RowTransaction progress;
         progress.conditions.push_back(std::move(fence));
         progress.conditions.push_back({ m_names.progress(rows.id), rows.progressVersion });
         progress.writes.push_back({ m_names.progress(rows.id), std::nullopt });
-        const auto cleared = co_await m_store.commit(std::move(progress), answerTimeout);
+        const auto cleared = co_await m_store.commit(std::move(progress), m_answerTimeout);
         logEvent("job_removed",
             { { "job", rows.id }, { "acceptance", accepted.isCommitted }, { "progress", cleared.isCommitted } });
     }
@@ -101,13 +99,14 @@
         RowTransaction transaction;
         transaction.conditions.push_back(row);
         transaction.writes.push_back({ row.name, std::nullopt });
-        const auto removed = co_await m_store.commit(std::move(transaction), answerTimeout);
+        const auto removed = co_await m_store.commit(std::move(transaction), m_answerTimeout);
         logEvent("orphan_removed", { { "row", row.name.key }, { "removed", removed.isCommitted } });
     }
 
 private:
     Store& m_store;
     RowNames m_names;
+    Duration m_answerTimeout;
 };
 
 }
--- a/src/lycheespool/dispatch/start_planner.cpp
+++ b/src/lycheespool/dispatch/start_planner.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-/*! @brief Share of an executor that a task would leave free, for the scarcest resource; smaller fits tighter. */
+/*! @brief Shares of an executor that a task would leave free, summed over the resources; smaller fits tighter. */
 double leftover(const NodeRoom& node, const ResourceVector& need)
 {
     const auto share = [](std::int64_t free, std::int64_t used, std::int64_t capacity) {
--- a/test/lycheespool/cli/child_process.cpp
+++ b/test/lycheespool/cli/child_process.cpp
@@ -72,6 +72,9 @@
 
 int ChildProcess::wait()
 {
+    // Waiting for process 0 would wait for any child of this program.
+    if (m_pid == 0)
+        throw std::logic_error { "the end of this process was taken already" };
     int status = 0;
     ::waitpid(m_pid, &status, 0);
     m_pid = 0;
--- a/test/lycheespool/controller/row_cleaner.cpp
+++ b/test/lycheespool/controller/row_cleaner.cpp
@@ -36,7 +36,7 @@
     FakeRows rows;
     FakeRowStore store { rows };
     RowNames names;
-    RowCleaner<FakeRowStore> cleaner { store, names };
+    RowCleaner<FakeRowStore> cleaner { store, names, std::chrono::seconds { 1 } };
     std::uint64_t version { 0 };
 };
 
--- a/test/soak/deployment.cpp
+++ b/test/soak/deployment.cpp
@@ -1,6 +1,7 @@
 #include "soak/deployment.h"
 
 #include "soak/soak_bounds.h"
+#include "soak/stand_in.h"
 
 #include "lycheespool/core/boot_clock.h"
 
@@ -30,8 +31,6 @@
 constexpr std::size_t racks = 2;
 const ResourceVector executorCapacity { 16000, 32768, 8 };
 
-std::int64_t toMs(Duration time) { return std::chrono::duration_cast<std::chrono::milliseconds>(time).count(); }
-
 std::string firstConfig()
 {
     return nlohmann::json {
@@ -74,11 +73,15 @@
         m_wasPaused = true;
     if (number == SIGTERM)
         m_killAt = std::min(m_killAt, BootClock {}.now() + stopGrace);
-    m_process->signal(number);
+    if (m_process)
+        m_process->signal(number);
 }
 
 void Member::keepRunning(Referee& referee)
 {
+    // The last attempt to start it failed.
+    if (!m_process)
+        return start();
     if (BootClock {}.now() > m_killAt) {
         if (!m_wasPaused)
             referee.fail(fmt::format("{} did not end after SIGTERM", m_name));
@@ -90,13 +93,14 @@
         return;
     if (!m_isEndExpected)
         referee.fail(fmt::format("{} ended by itself with {}", m_name, *code));
+    m_process.reset();
     start();
 }
 
 void Member::stop()
 {
-    m_process->signal(SIGKILL);
-    (void)m_process->wait();
+    // The destructor ends the process and waits for it.
+    m_process.reset();
 }
 
 Deployment::Deployment(IoPool& pool, const DeploymentSettings& settings, Referee& referee)
--- a/test/soak/deployment.h
+++ b/test/soak/deployment.h
@@ -32,7 +32,7 @@
     void signal(int number);
     /*! @brief Starts the process again when it has ended; reports an end that nobody asked for. */
     void keepRunning(Referee& referee);
-    /*! @brief Ends the process by SIGTERM, and by SIGKILL after the time that the platform gives. */
+    /*! @brief Ends the process at once. */
     void stop();
     [[nodiscard]] std::filesystem::path settingsPath() const { return m_directory / (m_name + ".json"); }
     [[nodiscard]] const std::string& name() const { return m_name; }
@@ -41,6 +41,7 @@
     std::string m_name;
     std::string m_role;
     std::filesystem::path m_directory;
+    /*! @brief Null while the process could not be started. */
     std::unique_ptr<test::ChildProcess> m_process;
     bool m_isEndExpected { false };
     // A paused process cannot end in time.
--- a/test/soak/executor_stand_in.cpp
+++ b/test/soak/executor_stand_in.cpp
@@ -1,6 +1,7 @@
 #include "soak/executor_stand_in.h"
 
 #include "soak/soak_bounds.h"
+#include "soak/stand_in.h"
 
 #include "lycheespool/core/boot_clock.h"
 #include "lycheespool/core/error.h"
@@ -25,19 +26,8 @@
 // It leaves anyway when nobody acknowledges that it drains.
 constexpr Duration drainPatience = 6s;
 constexpr std::size_t maxEndsListed = 500;
-constexpr std::int64_t shortestLateMs = 500;
-constexpr std::int64_t longestLateMs = 3000;
 constexpr int clockOffsetMs = 5000;
 
-std::int64_t toMs(Duration time) { return std::chrono::duration_cast<std::chrono::milliseconds>(time).count(); }
-
-HttpResponse lostAnswer()
-{
-    HttpResponse response;
-    response.dropConnection = true;
-    return response;
-}
-
 }
 
 ExecutorStandIn::ExecutorStandIn(
@@ -90,8 +80,6 @@
     return clockOffsetMs + static_cast<std::int64_t>(passed.count() * executorClockRate);
 }
 
-bool ExecutorStandIn::chance(double share) { return std::uniform_real_distribution<double> {}(m_random) < share; }
-
 HttpResponse ExecutorStandIn::answer(unsigned status, const char* reason) const
 {
     nlohmann::json body { { "clockMs", clockMs() }, { "born", m_bornUnixMs } };
@@ -113,19 +101,18 @@
         auto body = nlohmann::json::parse(request.body);
         co_return co_await hold(std::move(body), m_lifetime);
     }
-    if (chance(faults.lateOrders)) {
+    if (isHit(m_random, faults.lateOrders)) {
         asio::co_spawn(m_pool.context(), executeLater(std::move(request), m_lifetime), asio::detached);
-        co_await sleepFor(std::chrono::milliseconds { longestLateMs });
+        co_await sleepFor(longestLateTime);
         co_return lostAnswer();
     }
     const auto response = execute(request, false);
-    co_return chance(faults.lostAnswers) ? lostAnswer() : response;
+    co_return isHit(m_random, faults.lostAnswers) ? lostAnswer() : response;
 }
 
 Awaitable<> ExecutorStandIn::executeLater(HttpRequest request, std::uint64_t lifetime)
 {
-    const auto delay = std::uniform_int_distribution<std::int64_t> { shortestLateMs, longestLateMs }(m_random);
-    co_await sleepFor(std::chrono::milliseconds { delay });
+    co_await sleepFor(drawLateTime(m_random));
     if (m_isUp && m_lifetime == lifetime)
         (void)execute(request, true);
 }
@@ -189,7 +176,7 @@
     run.isGang = step.isGang;
     run.savesCheckpoints = step.savesCheckpoints;
     run.startedAt = BootClock {}.now();
-    run.fails = chance(faults.failures);
+    run.fails = isHit(m_random, faults.failures);
     run.checkpoint = checkpoint;
     if (!checkpoint.empty()) {
         run.done = std::chrono::milliseconds { std::stoll(checkpoint.substr(0, checkpoint.find('-')), nullptr, 16) };
@@ -257,7 +244,7 @@
     const auto until = BootClock {}.now() + std::chrono::milliseconds { body.value("waitMs", std::int64_t { 0 }) };
     while (m_isUp && m_lifetime == lifetime && m_ends.empty() && BootClock {}.now() < until)
         co_await sleepFor(tickInterval);
-    if (!m_isUp || m_lifetime != lifetime || chance(faults.lostAnswers))
+    if (!m_isUp || m_lifetime != lifetime || isHit(m_random, faults.lostAnswers))
         co_return lostAnswer();
     HttpResponse response;
     response.body = lists().dump();
--- a/test/soak/executor_stand_in.h
+++ b/test/soak/executor_stand_in.h
@@ -133,7 +133,6 @@
     void end(const Run& run, const std::string& how);
     void saveCheckpoint(Run& run);
     [[nodiscard]] std::int64_t clockMs() const;
-    [[nodiscard]] bool chance(double share);
 
     IoPool& m_pool;
     ExecutorPlace m_place;
--- a/test/soak/store_stand_in.cpp
+++ b/test/soak/store_stand_in.cpp
@@ -1,6 +1,7 @@
 #include "soak/store_stand_in.h"
 
 #include "soak/soak_bounds.h"
+#include "soak/stand_in.h"
 
 #include "lycheespool/core/boot_clock.h"
 
@@ -19,8 +20,6 @@
 constexpr std::size_t rowsPerPage = 500;
 // Longer than the time-outs of all callers.
 constexpr Duration silence = 60s;
-constexpr std::int64_t shortestLateMs = 500;
-constexpr std::int64_t longestLateMs = 3000;
 
 std::string encode(const std::string& bytes)
 {
@@ -84,13 +83,6 @@
     return response;
 }
 
-HttpResponse lostAnswer()
-{
-    HttpResponse response;
-    response.dropConnection = true;
-    return response;
-}
-
 std::uint64_t numberOf(const HttpRequest& request, std::string_view name)
 {
     const auto text = request.parameter(name, "0");
@@ -109,8 +101,6 @@
     m_server.start();
 }
 
-bool StoreStandIn::chance(double share) { return std::uniform_real_distribution<double> {}(m_random) < share; }
-
 Awaitable<> StoreStandIn::writeForOperator(std::string key, std::optional<std::string> value)
 {
     RowTransaction transaction;
@@ -140,12 +130,12 @@
 Awaitable<HttpResponse> StoreStandIn::commit(HttpRequest request)
 {
     auto transaction = toTransaction(nlohmann::json::parse(request.body));
-    if (chance(faults.lateWrites)) {
+    if (isHit(m_random, faults.lateWrites)) {
         asio::co_spawn(m_pool.context(), commitLater(std::move(transaction)), asio::detached);
         co_return lostAnswer();
     }
     const auto result = co_await m_store.commit(std::move(transaction), Duration {});
-    if (chance(faults.lostAnswers))
+    if (isHit(m_random, faults.lostAnswers))
         co_return lostAnswer();
     if (!result.isCommitted)
         co_return answer(result.current, m_rows.version, false, 412);
@@ -154,8 +144,7 @@
 
 Awaitable<> StoreStandIn::commitLater(RowTransaction transaction)
 {
-    const auto delay = std::uniform_int_distribution<std::int64_t> { shortestLateMs, longestLateMs }(m_random);
-    co_await sleepFor(std::chrono::milliseconds { delay });
+    co_await sleepFor(drawLateTime(m_random));
     (void)co_await m_store.commit(std::move(transaction), Duration {});
 }
 
--- a/test/soak/store_stand_in.h
+++ b/test/soak/store_stand_in.h
@@ -43,7 +43,6 @@
     [[nodiscard]] Awaitable<HttpResponse> list(HttpRequest request);
     [[nodiscard]] Awaitable<HttpResponse> changes(HttpRequest request);
     [[nodiscard]] Awaitable<> commitLater(RowTransaction transaction);
-    [[nodiscard]] bool chance(double share);
 
     IoPool& m_pool;
     std::mt19937_64 m_random;
