Count the wait for a rack from the time a step is ready

The wait that justifies a slower place was taken from the job's age, so the time of a lost run, and of earlier steps, counted as wait. Change: each step remembers since when it lacks nothing but room; the wait is counted from there and compared with the cost for the step itself instead of for its whole chain. The shorter wait of guaranteed work holds only until its first start, which is what its bound is about. runs_planned lines carry ready_ms. Test: 'a gang that lost its run waits for a rack again before it is spread' fails without the change.

--- a/src/lycheespool/controller/controller.h
+++ b/src/lycheespool/controller/controller.h
@@ -185,6 +185,8 @@
     struct WaitingStep {
         QueueRank rank;
         RankInput input;
+        /*! @brief Time for which the step has lacked nothing but room, ms. */
+        std::int64_t readyMs { 0 };
         ManagedWorkload* job { nullptr };
         std::uint32_t occurrence { 0 };
         std::uint32_t step { 0 };
@@ -221,7 +223,7 @@
     [[nodiscard]] std::vector<WaitingStep> waitingSteps(const Moment& now, std::optional<std::int64_t>& nextDue);
     [[nodiscard]] std::set<std::string> guaranteedJobs() const;
     void addWaiting(std::vector<WaitingStep>& steps, ManagedWorkload& job, std::uint32_t occurrence, std::uint32_t step,
-        bool isGuaranteed, std::int64_t ageMs);
+        bool isGuaranteed, std::int64_t ageMs, std::int64_t readyMs);
     [[nodiscard]] bool takesWork(const ExecutorView& node, TimePoint now) const;
     [[nodiscard]] std::vector<double> chainTimes(const ManagedWorkload& job) const;
     [[nodiscard]] NodeTrust trustOf(const ExecutorView& node, TimePoint now) const;
--- a/src/lycheespool/controller/controller_planning.cpp
+++ b/src/lycheespool/controller/controller_planning.cpp
@@ -21,7 +21,7 @@
 // A job that failed on more nodes than this, and on more than this share of all, probably fails by its own fault.
 constexpr std::size_t maxAvoidedNodes = 6;
 constexpr std::size_t avoidedNodesOneIn = 4;
-// Guaranteed gangs wait this long for a single rack; they must start within a reclaim bound of about 2.7 s.
+// Guaranteed gangs wait this long for a single rack before their first start, which has a reclaim bound of about 2.7 s.
 constexpr std::int64_t guaranteedRackWaitMs = 1000;
 // Stopping work of priority 0 costs its caller more than stopping other work.
 constexpr double urgentEvictionFactor = 20;
@@ -92,14 +92,20 @@
                 }
             }
             for (std::uint32_t s = 0; s < request.steps.size(); ++s) {
-                const auto& round = job.round(k, s);
+                auto& round = job.round(k, s);
                 const auto& step = request.steps[s];
                 const bool startable
                     = step.isGang ? round.live == 0 && round.waiting.size() == step.tasks : !round.waiting.empty();
                 const bool ready = startable
                     && std::ranges::all_of(step.after, [&](auto before) { return job.round(k, before).open == 0; });
-                if (ready)
-                    addWaiting(waiting, job, k, s, guaranteed.contains(id), now.unixMs - since);
+                if (!ready) {
+                    round.readySinceMs.reset();
+                    continue;
+                }
+                if (!round.readySinceMs)
+                    round.readySinceMs = now.unixMs;
+                addWaiting(
+                    waiting, job, k, s, guaranteed.contains(id), now.unixMs - since, now.unixMs - *round.readySinceMs);
             }
         }
     }
@@ -123,7 +129,7 @@
 }
 
 void Controller::addWaiting(std::vector<WaitingStep>& steps, ManagedWorkload& job, std::uint32_t occurrence,
-    std::uint32_t step, bool isGuaranteed, std::int64_t ageMs)
+    std::uint32_t step, bool isGuaranteed, std::int64_t ageMs, std::int64_t readyMs)
 {
     const auto& spec = job.row.request.steps[step];
     const auto& policy = policyOf(job);
@@ -142,10 +148,12 @@
     request.dataRack = spec.dataRack;
     request.maxPerNode = spec.maxPerExecutor;
     request.mayEvict = isGuaranteed;
-    // Waiting for the right rack pays until the wait exceeds half of what the slower place costs.
-    const auto remoteCost = (m_settings.bounds.remoteFactor - 1) * static_cast<double>(remaining);
+    // Waiting for the right rack pays until the wait exceeds half of what the slower place costs. Time that the job
+    // spent on earlier steps or on a run that was lost is no such wait.
+    const auto remoteCost = (m_settings.bounds.remoteFactor - 1) * forecast.expectedMs;
+    const bool mustBegin = isGuaranteed && job.progress.state == WorkloadState::pending;
     request.acceptsRemote
-        = static_cast<double>(ageMs) > remoteCost / 2 || (isGuaranteed && ageMs > guaranteedRackWaitMs);
+        = static_cast<double>(readyMs) > remoteCost / 2 || (mustBegin && ageMs > guaranteedRackWaitMs);
 
     // A gang keeps to places whose number of tasks counts from zero, since none of it runs.
     for (std::uint32_t i = 0; i < spec.tasks && !spec.isGang && spec.maxPerExecutor > 0; ++i) {
@@ -168,7 +176,7 @@
             return;
         request.tasks = static_cast<std::uint32_t>(indices.size());
         request.avoidsDoubt = avoidsDoubt;
-        steps.push_back({ rankOf(input), input, &job, occurrence, step, std::move(indices), request });
+        steps.push_back({ rankOf(input), input, readyMs, &job, occurrence, step, std::move(indices), request });
     };
     const auto& waiting = job.round(occurrence, step).waiting;
     // A limit per executor holds over all tasks of the step, so they stay in one request.
@@ -300,6 +308,9 @@
         ++gangRun;
     }
     changed(job);
+    // The tasks of a gang that were placed together wait together again.
+    if (spec.isGang)
+        round.readySinceMs.reset();
     if (job.progress.state == WorkloadState::pending) {
         job.progress.state = WorkloadState::running;
         m_waitMs.record(static_cast<double>(now.unixMs - job.row.acceptedUnixMs));
@@ -329,7 +340,7 @@
     }
     logEvent("runs_planned",
         { { "job", job.id }, { "tasks", placed }, { "tier", waiting.rank.tier }, { "slack_ms", waiting.rank.slackMs },
-            { "late", waiting.rank.isLate }, { "age_ms", waiting.input.ageMs },
+            { "late", waiting.rank.isLate }, { "age_ms", waiting.input.ageMs }, { "ready_ms", waiting.readyMs },
             { "objective_ms", waiting.input.objectiveMs }, { "remaining_ms", waiting.input.remainingMs },
             { "gang", spec.isGang }, { "left_waiting", round.waiting.size() },
             { "remote_accepted", waiting.request.acceptsRemote }, { "config_version", m_config->version },
--- a/src/lycheespool/controller/managed_workload.h
+++ b/src/lycheespool/controller/managed_workload.h
@@ -3,6 +3,7 @@
 #include "lycheespool/workload/job_progress.h"
 
 #include <cstdint>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -21,6 +22,8 @@
     std::uint32_t gangFailures { 0 };
     /*! @brief Run number of the last counted failure of the gang. */
     std::uint64_t lastFailedRun { 0 };
+    /*! @brief Unix time since which the step could start for want of nothing but room, ms; nothing while it cannot. */
+    std::optional<std::int64_t> readySinceMs;
 };
 
 /*! @brief A job in the leader's memory. */
--- a/test/lycheespool/controller/controller.cpp
+++ b/test/lycheespool/controller/controller.cpp
@@ -338,6 +338,69 @@
     CHECK(failures <= badNodes * (8 + 1));
 }
 
+// Guards against a gang that is spread over racks at once, three times as slow, because the time of its lost run
+// counted as a wait for its rack.
+TEST_CASE("a gang that lost its run waits for a rack again before it is spread")
+{
+    Fixture f;
+    auto row = Fixture::job(2, true);
+    row.request.steps[0].perTask.accelerators = 8;
+    row.request.steps[0].prefersOneRack = true;
+    f.controller.addJob("gang", row, {}, 0, Fixture::at(0).steady);
+    std::vector<NodeReport> reports;
+    for (int i = 0; i < 4; ++i) {
+        auto it = f.report(0, "node-" + std::to_string(i));
+        it.labels = { "a", i < 2 ? "rack-0" : "rack-1" };
+        reports.push_back(it);
+    }
+    const auto hearAll = [&](std::int64_t ms) {
+        for (auto& it : reports) {
+            it.sentAtMs = it.listedAtMs = static_cast<std::uint64_t>(ms);
+            f.hear(it, ms);
+        }
+    };
+    const auto order = [&](std::int64_t ms) {
+        (void)f.controller.plan(Fixture::at(ms));
+        f.storeAll();
+        return f.controller.takeOrders(Fixture::at(ms));
+    };
+    // Takes one executor of a rack for good.
+    const auto occupy = [&](const std::string& rack, std::int64_t ms) {
+        auto filler = Fixture::job();
+        filler.policy.priority = 0;
+        filler.request.steps[0].perTask.accelerators = 8;
+        filler.request.steps[0].requiredLabel = rack;
+        f.controller.addJob("filler of " + rack, filler, {}, 0, Fixture::at(ms).steady);
+    };
+    hearAll(10);
+    const auto first = order(10);
+    REQUIRE(first.size() == 2);
+    REQUIRE(first.contains("node-0"));
+    occupy("rack-0", 6000);
+    occupy("rack-1", 6000);
+    // A crash of one executor ends the gang long after its submission.
+    reports[0].lifetime.bornUnixMs = 6000;
+    hearAll(6000);
+    f.controller.onOutcome("node-1", first.at("node-1").lifetime,
+        { first.at("node-1").orders.at(0).task, 1, RunOrderResult::stopped, {}, 6001 }, Fixture::at(6001));
+    hearAll(6100);
+    CHECK(f.controller.liveRuns().empty());
+    // Both racks have room for one task only.
+    const auto startsOfGang = [&](std::int64_t ms) {
+        std::size_t starts = 0;
+        for (const auto& [node, batch] : order(ms))
+            starts += static_cast<std::size_t>(std::ranges::count_if(
+                batch.orders, [](const auto& it) { return it.isStart && it.task.starts_with("gang"); }));
+        return starts;
+    };
+    CHECK(startsOfGang(6100) == 0);
+    // The estimate is 2 s and the wrong rack costs twice that, so half of it is waited.
+    hearAll(8050);
+    CHECK(startsOfGang(8050) == 0);
+    hearAll(8200);
+    CHECK(startsOfGang(8200) == 2);
+}
+
 // Guards against memory that grows with each job that ever ran, and against a state that is forgotten while callers may
 // still ask for it.
 TEST_CASE("an ended job is given up only after its state was readable as long as promised")
