Move runs off executors that leave before the runs end

The time that a draining executor says it stays was reported to the leader but not used. Ruled out: giving the runs up when the executor's port refuses connections; a cut of the link may look the same. Change: dispatch/leaving_run.h compares the expected end of a run that stays with that of one that moves at once; the leader stops runs that end sooner elsewhere, whole gangs together, with their newest checkpoint. Agents age the announced time. Tasks that last stay.

--- a/src/lycheespool/controller/controller.h
+++ b/src/lycheespool/controller/controller.h
@@ -117,7 +117,7 @@
         const std::string& node, const Lifetime& lifetime, const RunOrderOutcome& outcome, const Moment& now);
 
     /**
-     * @brief Releases what certainly ended without a report and stops stalled runs.
+     * @brief Releases what certainly ended without a report, stops stalled runs and moves runs off leaving executors.
      * @param now Present time.
      */
     void expire(const Moment& now);
@@ -218,6 +218,9 @@
     [[nodiscard]] Duration longestRun(const ManagedWorkload& job, const StepSpec& step) const;
     [[nodiscard]] std::optional<TimePoint> gangStart(const ManagedWorkload& job, const RunKey& key) const;
     void stopStalled(const RunKey& key, LiveRun& run, const Moment& now);
+    [[nodiscard]] DurationForecast remainingRun(
+        const ManagedWorkload& job, const RunKey& key, const LiveRun& run, TimePoint now) const;
+    void moveFromLeaving(const RunKey& key, LiveRun& run, const Moment& now);
 
     // Planning.
     [[nodiscard]] std::vector<WaitingStep> waitingSteps(const Moment& now, std::optional<std::int64_t>& nextDue);
@@ -247,6 +250,7 @@
     Counter& m_runsLost;
     Counter& m_runsEvicted;
     Counter& m_runsStalled;
+    Counter& m_runsMoved;
     Counter& m_straysStopped;
     LatencyHistogram& m_waitMs;
     LatencyHistogram& m_completionMs;
--- a/src/lycheespool/controller/controller_jobs.cpp
+++ b/src/lycheespool/controller/controller_jobs.cpp
@@ -30,6 +30,7 @@
     , m_runsLost { metrics.counter("runs_lost_total") }
     , m_runsEvicted { metrics.counter("runs_evicted_total") }
     , m_runsStalled { metrics.counter("runs_stalled_total") }
+    , m_runsMoved { metrics.counter("runs_moved_total") }
     , m_straysStopped { metrics.counter("runs_unknown_stopped_total") }
     , m_waitMs { metrics.histogram("first_start_wait_ms") }
     , m_completionMs { metrics.histogram("completion_ms") }
--- a/src/lycheespool/controller/controller_runs.cpp
+++ b/src/lycheespool/controller/controller_runs.cpp
@@ -62,6 +62,9 @@
     node.rack = rackOf(report.labels);
     node.capacity = report.capacity;
     node.heardAt = now.steady;
+    node.staysUntil.reset();
+    if (report.state == ExecutorState::draining && report.remainingMs > 0)
+        node.staysUntil = now.steady + std::chrono::milliseconds { report.remainingMs };
     // Lists that another connection delayed say nothing about runs that newer ones show.
     const bool isOutdated = report.listedAtMs < node.listedAtMs;
     node.newestReportMs = std::max(node.newestReportMs, report.sentAtMs);
@@ -369,8 +372,10 @@
         for (const auto& it : silent)
             loseLifetime(it, {}, "the node never reported to this leader");
     }
-    for (auto& [key, run] : m_runs)
+    for (auto& [key, run] : m_runs) {
         stopStalled(key, run, now);
+        moveFromLeaving(key, run, now);
+    }
 }
 
 }
--- a/src/lycheespool/controller/controller_trust.cpp
+++ b/src/lycheespool/controller/controller_trust.cpp
@@ -1,7 +1,8 @@
-// What Controller believes about executors and run times: failures, stalls, forecasts.
+// What Controller believes about executors and run times: failures, stalls, departures, forecasts.
 #include "lycheespool/controller/controller.h"
 
 #include "lycheespool/core/event_log.h"
+#include "lycheespool/dispatch/leaving_run.h"
 
 #include <nlohmann/json.hpp>
 
@@ -14,6 +15,10 @@
 
 // Failures without a success between them after which a node is suspected; sound tasks fail at times as well.
 constexpr std::size_t failuresToSuspect = 2;
+// Least percent from which on the pace of a run tells more than the forecast of its queue.
+constexpr std::uint32_t percentToTellPace = 10;
+// Standard deviation of the logarithm of a run's remaining time when it is told from its pace.
+constexpr double paceSpread = 0.2;
 // Nodes on which a job must fail before the job rather than the nodes is suspected.
 constexpr std::size_t nodesToBlameJob = 2;
 
@@ -151,4 +156,61 @@
         stopRun(key, "no progress");
 }
 
+/*! @brief Forecasts the time until a run ends. */
+DurationForecast Controller::remainingRun(
+    const ManagedWorkload& job, const RunKey& key, const LiveRun& run, TimePoint now) const
+{
+    const auto& step = job.row.request.steps[key.task.position.step];
+    const auto whole = m_durations.forecast(job.row.queue, step.estimatedMs);
+    const auto workingSince = step.isGang ? gangStart(job, key) : std::optional { run.confirmedAt };
+    if (!workingSince)
+        return whole;
+    const std::chrono::duration<double, std::milli> working = now - *workingSince;
+    const auto node = m_nodes.find(run.node);
+    // A run that resumed a checkpoint lists a percent that it has not worked for.
+    if (!run.isPartial && run.percent >= percentToTellPace && node != m_nodes.end()) {
+        const auto sinceListed = static_cast<double>(node->second.newestReportMs - run.percentListedMs);
+        const auto perPercent = std::max(0.0, working.count() - sinceListed) / run.percent;
+        return { std::max(0.0, perPercent * 100 - working.count()), paceSpread };
+    }
+    if (run.percent > 0)
+        return { whole.expectedMs * (100 - run.percent) / 100, whole.spread };
+    return { std::max(0.0, whole.expectedMs - working.count()), whole.spread };
+}
+
+/*! @brief Stops a run whose executor leaves before its end, so that it goes on elsewhere. */
+void Controller::moveFromLeaving(const RunKey& key, LiveRun& run, const Moment& now)
+{
+    const auto node = m_nodes.find(run.node);
+    if (run.phase != RunPhase::confirmed || run.isStopping() || node == m_nodes.end() || !node->second.staysUntil
+        || now.steady >= *node->second.staysUntil || node->second.lifetime != run.lifetime)
+        return;
+    auto* const job = findJob(key.task.job);
+    // A task that lasts serves until the end of its executor.
+    if (!job || job->row.request.steps[key.task.position.step].isService)
+        return;
+    const auto& step = job->row.request.steps[key.task.position.step];
+    const auto ms = [](Duration time) { return std::chrono::duration<double, std::milli> { time }.count(); };
+    const auto forecast = remainingRun(*job, key, run, now.steady);
+    LeavingRun leaving;
+    leaving.executorStaysMs = ms(*node->second.staysUntil - now.steady);
+    leaving.remainingMs = forecast.expectedMs;
+    leaving.spread = forecast.spread;
+    // A run that saves its work does so once more when it is stopped.
+    leaving.repeatedMs = run.checkpoint.empty() ? ms(now.steady - run.confirmedAt) : ms(m_settings.bounds.restore);
+    // Executors leave with a goodbye or in silence, and it is not known which one it will be.
+    leaving.detectionMs = ms(m_settings.permitEnd()) / 2;
+    if (!shouldMoveNow(leaving))
+        return;
+    m_runsMoved.add();
+    logEvent("run_moved",
+        { { "task", key.task.toString() }, { "run", key.run }, { "node", run.node }, { "percent", run.percent },
+            { "executor_stays_ms", leaving.executorStaysMs }, { "remaining_ms", leaving.remainingMs },
+            { "repeated_ms", leaving.repeatedMs } });
+    if (step.isGang)
+        stopGangOf(*job, key.task.position, key.run, "a member's executor leaves");
+    else
+        stopRun(key, "the executor leaves");
+}
+
 }
--- a/src/lycheespool/controller/executor_view.h
+++ b/src/lycheespool/controller/executor_view.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -36,6 +37,8 @@
     std::vector<std::string> labels;
     ResourceVector capacity;
     TimePoint heardAt {};
+    /*! @brief While draining: the executor stays at least until then; nothing when it does not say. */
+    std::optional<TimePoint> staysUntil;
     /*! @brief Every permit that the agent got has run out after this. */
     TimePoint permitsEndAt {};
     /*! @brief The permits ran out without contact, so nothing runs there. */
--- a/src/lycheespool/dispatch/fwd.h
+++ b/src/lycheespool/dispatch/fwd.h
@@ -7,6 +7,7 @@
 
 struct DurationForecast;
 struct EvictableRun;
+struct LeavingRun;
 struct NodeRoom;
 struct StartPlan;
 struct StartRequest;
--- a/src/lycheespool/nodeagent/node_agent.h
+++ b/src/lycheespool/nodeagent/node_agent.h
@@ -110,6 +110,7 @@
         const bool isNew = announcement.lifetime != known.lifetime;
         const bool isChanged = isNew || announcement.state != known.state;
         known = announcement;
+        m_announcedAt = BootClock {}.now();
         if (isNew)
             forgetLists();
         if (isChanged) {
@@ -150,6 +151,16 @@
             m_startUnixMs + std::chrono::duration_cast<std::chrono::milliseconds>(now - m_startedAt).count());
     }
 
+    /*! @brief Least time that a draining executor stays from now on, ms; 0 when it does not say. */
+    [[nodiscard]] std::uint64_t remainingMs(TimePoint now) const
+    {
+        if (m_executorState.remainingMs == 0)
+            return 0;
+        const auto passed = std::chrono::duration_cast<std::chrono::milliseconds>(now - m_announcedAt);
+        const auto announced = static_cast<std::int64_t>(m_executorState.remainingMs);
+        return static_cast<std::uint64_t>(std::max<std::int64_t>(1, announced - passed.count()));
+    }
+
     void forgetLists()
     {
         m_leaseClock.reset();
@@ -221,7 +232,7 @@
         report.service = m_executorState.service;
         report.labels = m_executorState.labels;
         report.capacity = m_executorState.capacity;
-        report.remainingMs = m_executorState.remainingMs;
+        report.remainingMs = remainingMs(sent);
         report.sentAtMs = clockMs(sent);
         report.listedAtMs = m_listedAtMs;
         report.running = m_running;
@@ -466,6 +477,7 @@
     WakeUp m_holdDue;
     LeaseClock m_leaseClock;
     ExecutorAnnouncement m_executorState;
+    TimePoint m_announcedAt {};
     Epoch m_epoch;
     std::vector<RunningTask> m_running;
     std::vector<RunEnd> m_ended;
--- a/test/lycheespool/controller/controller.cpp
+++ b/test/lycheespool/controller/controller.cpp
@@ -401,6 +401,38 @@
     CHECK(startsOfGang(8200) == 2);
 }
 
+// Guards against work that is lost with an executor although its notice left time to move it, and against moving work
+// that ends in time.
+TEST_CASE("runs leave an executor whose notice is shorter than the rest of their work")
+{
+    for (const std::uint32_t percent : { 20U, 90U }) {
+        CAPTURE(percent);
+        Fixture f;
+        const auto run = f.startOne(10);
+        auto report = f.report(2000);
+        report.running = { { run.task, run.run, {}, percent } };
+        report.state = ExecutorState::draining;
+        report.remainingMs = 2200;
+        f.hear(report, 2000);
+        f.controller.expire(Fixture::at(2001));
+        // At 20% after 2 s the run needs 8 s more, at 90% a fifth of a second.
+        CHECK(f.controller.liveRuns().begin()->second.isStopping() == (percent == 20));
+    }
+}
+
+// Guards against stopping work for want of a time that the executor did not give.
+TEST_CASE("runs stay on a draining executor that does not say how long it stays")
+{
+    Fixture f;
+    const auto run = f.startOne(10);
+    auto report = f.report(2000);
+    report.running = { { run.task, run.run, {}, 20 } };
+    report.state = ExecutorState::draining;
+    f.hear(report, 2000);
+    f.controller.expire(Fixture::at(2001));
+    CHECK_FALSE(f.controller.liveRuns().begin()->second.isStopping());
+}
+
 // Guards against memory that grows with each job that ever ran, and against a state that is forgotten while callers may
 // still ask for it.
 TEST_CASE("an ended job is given up only after its state was readable as long as promised")
