Give up the runs of an executor that does not answer while its agent lives on

Ruled out: taking a refused connection as the end of the executor, since a cut of the link may look the same. Change: from the first unanswered call to the next answer an agent extends no lease and says so in its reports; the leader grants no permit for such reports, so the last one runs out and the runs start elsewhere. executor_lost says how old agent and lists are. Tests: 'tasks of an executor that its agent cannot reach start elsewhere after the permits have run out', 'the lease of an executor that does not answer is not extended until it answers again'.

--- a/src/lycheespool/controller/controller_runs.cpp
+++ b/src/lycheespool/controller/controller_runs.cpp
@@ -53,7 +53,7 @@
                 { "from", executorStateName(node.state) }, { "to", executorStateName(report.state) },
                 { "remaining_ms", report.remainingMs } });
     }
-    if (std::exchange(node.isLost, false))
+    if (report.extendsLease && std::exchange(node.isLost, false))
         logEvent("executor_regained", { { "node", report.node }, { "executor", report.lifetime.executor } });
     node.zone = report.zone;
     node.state = report.state;
@@ -356,8 +356,9 @@
             node.isLost = true;
             logEvent("executor_lost",
                 { { "node", name }, { "executor", node.lifetime.executor },
-                    { "silent_ms",
-                        std::chrono::duration_cast<std::chrono::milliseconds>(now.steady - node.heardAt).count() } });
+                    { "agent_silent_ms",
+                        std::chrono::duration_cast<std::chrono::milliseconds>(now.steady - node.heardAt).count() },
+                    { "lists_age_ms", node.newestReportMs - node.listedAtMs } });
             loseLifetime(name, {}, "the permits of the node ran out");
         }
     }
--- a/src/lycheespool/controller/leader_host.h
+++ b/src/lycheespool/controller/leader_host.h
@@ -114,9 +114,12 @@
             known->close();
         known = connection;
         m_controller->onReport(report, now);
-        m_controller->grantPermit(report.node, now.steady);
-        reply.permitMs = static_cast<std::uint64_t>(
-            std::chrono::duration_cast<std::chrono::milliseconds>(m_settings.permit).count());
+        // Without permits, the runs of an executor that is gone for good are given up while its agent lives on.
+        if (report.extendsLease) {
+            m_controller->grantPermit(report.node, now.steady);
+            reply.permitMs = static_cast<std::uint64_t>(
+                std::chrono::duration_cast<std::chrono::milliseconds>(m_settings.permit).count());
+        }
         reply.endsStored = m_controller->endsStored(report.node);
         m_wakeUp.wake();
         return reply;
--- a/src/lycheespool/nodeagent/lease_clock.h
+++ b/src/lycheespool/nodeagent/lease_clock.h
@@ -27,7 +27,11 @@
     }
 
     /*! @brief Forgets the executor's clock, which starts anew in each lifetime. */
-    void reset() { m_sample.reset(); }
+    void reset()
+    {
+        m_sample.reset();
+        m_answers = true;
+    }
 
     /**
      * @brief Records the executor's clock.
@@ -43,6 +47,15 @@
      */
     void permit(TimePoint sent, Duration length) { m_permitUntil = std::max(m_permitUntil, sent + length); }
 
+    /**
+     * @brief Records whether the executor answers; the lease of one that does not is left to run out.
+     * @param answers False from the first unanswered call to the next answer.
+     */
+    void setAnswers(bool answers) { m_answers = answers; }
+
+    /*! @brief Tells whether leases are extended. */
+    [[nodiscard]] bool isExtending() const { return m_answers; }
+
     /**
      * @brief Tells whether the permit lasts.
      * @param now Present time.
@@ -53,11 +66,11 @@
     /**
      * @brief Gives the end of the longest lease that the permit allows now.
      * @param now Present time.
-     * @return Time on the executor's clock in ms, or nothing without permit or sample.
+     * @return Time on the executor's clock in ms, or nothing without permit, sample or answers.
      */
     [[nodiscard]] std::optional<std::int64_t> leaseEndMs(TimePoint now) const
     {
-        if (!m_sample || !isPermitted(now))
+        if (!m_sample || !m_answers || !isPermitted(now))
             return std::nullopt;
         const auto end = std::min(m_permitUntil, now + m_longest);
         return m_sample->clockMs
@@ -75,6 +88,7 @@
 
     Duration m_longest;
     std::optional<Sample> m_sample;
+    bool m_answers { true };
     TimePoint m_permitUntil { -std::chrono::hours { 24 } };
 };
 
--- a/src/lycheespool/nodeagent/node_agent.h
+++ b/src/lycheespool/nodeagent/node_agent.h
@@ -237,6 +237,7 @@
         report.listedAtMs = m_listedAtMs;
         report.running = m_running;
         report.ended = m_ended;
+        report.extendsLease = m_leaseClock.isExtending();
         const auto lifetime = report.lifetime;
         m_reports.add();
         std::optional<NodeReportReply> reply;
@@ -250,7 +251,8 @@
         if (!reply->leads || reply->epoch < m_epoch)
             co_return reply->leads ? std::nullopt : reply;
         m_epoch = reply->epoch;
-        m_leaseClock.permit(sent, std::chrono::milliseconds { reply->permitMs });
+        if (reply->permitMs > 0)
+            m_leaseClock.permit(sent, std::chrono::milliseconds { reply->permitMs });
         if (lifetime == m_executorState.lifetime)
             acknowledge(reply->endsStored);
         co_return reply;
@@ -300,14 +302,19 @@
         const bool isOther = head.kind == ExecutorAnswerKind::wrongLifetime
             || (head.bornUnixMs && *head.bornUnixMs != lifetime.bornUnixMs);
         if (head.kind != ExecutorAnswerKind::accepted || isOther) {
-            if (!std::exchange(m_isExecutorSilent, true))
+            if (m_leaseClock.isExtending()) {
+                m_leaseClock.setAnswers(false);
                 logEvent("executor_unreachable",
                     { { "executor", lifetime.executor }, { "kind", static_cast<int>(head.kind) },
                         { "reason", head.reason } });
+            }
             co_return false;
         }
-        if (std::exchange(m_isExecutorSilent, false))
+        if (!m_leaseClock.isExtending()) {
+            m_leaseClock.setAnswers(true);
+            m_reportDue.wake();
             logEvent("executor_reachable_again", { { "executor", lifetime.executor } });
+        }
         if (head.clockMs)
             m_leaseClock.sample(*head.clockMs, BootClock {}.now());
         m_running = std::move(answer.running);
@@ -404,7 +411,7 @@
             return "epoch";
         if (m_executorState.state != ExecutorState::ready)
             return "draining";
-        if (m_isExecutorSilent)
+        if (!m_leaseClock.isExtending())
             return "unreachable";
         const auto age = std::chrono::milliseconds { clockMs(now) - batch.basedOnMs };
         if (age > decisionAge || !m_leaseClock.isPermitted(now))
@@ -459,7 +466,7 @@
             if (answer.kind == ExecutorAnswerKind::refused)
                 co_return RunOrderOutcome { {}, 0, RunOrderResult::unresolved, answer.reason, 0 };
             // The leader repeats the order once the executor answers its agent again.
-            if (m_isExecutorSilent)
+            if (!m_leaseClock.isExtending())
                 break;
             co_await sleepFor(std::exchange(pause, 2 * pause));
         }
@@ -484,7 +491,6 @@
     std::uint64_t m_listedAtMs { 0 };
     std::uint64_t m_endsStored { 0 };
     std::uint64_t m_newestEnd { 0 };
-    bool m_isExecutorSilent { false };
     LatencyHistogram& m_startMs;
     Counter& m_ordersStarted;
     Counter& m_ordersStopped;
--- a/src/lycheespool/wire/node_messages.h
+++ b/src/lycheespool/wire/node_messages.h
@@ -77,8 +77,10 @@
     std::uint64_t listedAtMs { 0 };
     std::vector<RunningTask> running;
     std::vector<RunEnd> ended;
-    MSGPACK_DEFINE(
-        node, zone, state, lifetime, service, labels, capacity, remainingMs, sentAtMs, listedAtMs, running, ended)
+    /*! @brief False while the executor does not answer the agent, which then extends no lease. */
+    bool extendsLease { true };
+    MSGPACK_DEFINE(node, zone, state, lifetime, service, labels, capacity, remainingMs, sentAtMs, listedAtMs, running,
+        ended, extendsLease)
 };
 
 /*! @brief Answer to NodeReport. */
@@ -90,7 +92,8 @@
     /*! @brief False while the leader cannot reach the store; another entry may lead by now. */
     bool active { false };
     Epoch epoch;
-    /*! @brief The agent may extend the executor's lease until this long after it sent the report, ms. */
+    /*! @brief The agent may extend the executor's lease until this long after it sent the report, ms; 0 for no permit.
+     */
     std::uint64_t permitMs { 0 };
     /*! @brief Ends up to this number are stored and may be acknowledged to the executor. */
     std::uint64_t endsStored { 0 };
--- a/test/lycheespool/controller/controller.cpp
+++ b/test/lycheespool/controller/controller.cpp
@@ -200,6 +200,27 @@
     CHECK(f.controller.liveRuns().empty());
 }
 
+// Guards against jobs that wait for ever for an executor that crashed and does not return, while its agent reports.
+TEST_CASE("tasks of an executor that its agent cannot reach start elsewhere after the permits have run out")
+{
+    Fixture f;
+    (void)f.startOne(10);
+    const ControllerSettings settings;
+    const auto safe
+        = std::chrono::duration_cast<std::chrono::milliseconds>(settings.permitEnd() + settings.passiveGrace);
+    auto report = f.report(100);
+    report.extendsLease = false;
+    for (std::int64_t ms = 800; ms < 30 + safe.count(); ms += 800) {
+        report.sentAtMs = static_cast<std::uint64_t>(ms);
+        f.controller.onReport(report, Fixture::at(ms));
+    }
+    f.controller.expire(Fixture::at(30 + safe.count()));
+    CHECK(f.controller.liveRuns().empty());
+    // Its next report says no more than the ones before.
+    f.controller.onReport(report, Fixture::at(40 + safe.count()));
+    CHECK(f.controller.nodes().at("node-0").isLost);
+}
+
 TEST_CASE("a zone that is out of service and a draining executor get no task")
 {
     Fixture f;
--- a/test/lycheespool/nodeagent/lease_clock.cpp
+++ b/test/lycheespool/nodeagent/lease_clock.cpp
@@ -46,3 +46,21 @@
     clock.reset();
     CHECK_FALSE(clock.leaseEndMs(start));
 }
+
+// Guards against an executor that is gone for good and whose runs are never given up, because its agent goes on to
+// report.
+TEST_CASE("the lease of an executor that does not answer is not extended until it answers again")
+{
+    LeaseClock clock { 10s };
+    clock.permit(start, 7s);
+    clock.sample(5000, start);
+    clock.setAnswers(false);
+    CHECK_FALSE(clock.isExtending());
+    CHECK_FALSE(clock.leaseEndMs(start + 1s));
+    clock.setAnswers(true);
+    CHECK(clock.leaseEndMs(start + 1s) == 12000);
+    clock.setAnswers(false);
+    // The next lifetime has not failed to answer yet.
+    clock.reset();
+    CHECK(clock.isExtending());
+}
