Keep urgent gangs and last tries off executors that fail

The last try of a gang was placed on an executor that had failed 2 s before, and another one on three suspects: urgent work that was about to be late took suspects before it stopped other work. Late work is worth a part to its caller, failed work nothing. Ruled out: faults of the jobs themselves; other members ran, and both failures came from executors that failed other jobs too. Change: the planner gives each request the least trust that it may use. The last try of a job waits for executors that have not failed lately, if these could ever hold it; urgent work stops other work before it uses suspects; only work whose start has a bound falls back to suspects when nothing can be stopped.

--- a/src/lycheespool/controller/controller_planning.cpp
+++ b/src/lycheespool/controller/controller_planning.cpp
@@ -151,9 +151,9 @@
     // Waiting for the right rack pays until the wait exceeds half of what the slower place costs. Time that the job
     // spent on earlier steps or on a run that was lost is no such wait.
     const auto remoteCost = (m_settings.bounds.remoteFactor - 1) * forecast.expectedMs;
-    const bool mustBegin = isGuaranteed && job.progress.state == WorkloadState::pending;
+    request.mustBegin = isGuaranteed && job.progress.state == WorkloadState::pending;
     request.acceptsRemote
-        = static_cast<double>(readyMs) > remoteCost / 2 || (mustBegin && ageMs > guaranteedRackWaitMs);
+        = static_cast<double>(readyMs) > remoteCost / 2 || (request.mustBegin && ageMs > guaranteedRackWaitMs);
 
     // A gang keeps to places whose number of tasks counts from zero, since none of it runs.
     for (std::uint32_t i = 0; i < spec.tasks && !spec.isGang && spec.maxPerExecutor > 0; ++i) {
@@ -179,6 +179,9 @@
         steps.push_back({ rankOf(input), input, readyMs, &job, occurrence, step, std::move(indices), request });
     };
     const auto& waiting = job.round(occurrence, step).waiting;
+    const auto isLast = [&](std::uint32_t failures) { return failures + 1 >= policy.maxAttempts; };
+    if (spec.isGang)
+        request.isLastTry = isLast(job.round(occurrence, step).gangFailures);
     // A limit per executor holds over all tasks of the step, so they stay in one request.
     if (spec.isGang || spec.maxPerExecutor > 0)
         return add({ waiting.begin(), waiting.end() }, false);
@@ -186,7 +189,11 @@
     std::vector<std::uint32_t> failed;
     for (const auto i : waiting)
         (job.progress.at({ occurrence, step, i }).failures > 0 ? failed : fresh).push_back(i);
+    request.isLastTry = std::ranges::any_of(failed, [&](auto i) {
+        return isLast(job.progress.at({ occurrence, step, i }).failures);
+    });
     add(std::move(failed), true);
+    request.isLastTry = false;
     add(std::move(fresh), false);
 }
 
--- a/src/lycheespool/dispatch/start_planner.cpp
+++ b/src/lycheespool/dispatch/start_planner.cpp
@@ -27,15 +27,20 @@
     for (std::size_t i = 0; i < requests.size(); ++i) {
         const auto& request = requests[i];
         auto places = findTrusted(request);
-        if (!places.empty()) {
-            take(request, places);
-            plan.starts.push_back({ i, std::move(places) });
-            continue;
+        if (places.empty() && request.mayEvict) {
+            const Scope returning { .trust = worstTrust(request), .withAvoided = true, .withReturning = true };
+            const bool isComing = !find(request, returning).empty();
+            if (!isComing && evictFor(request, plan))
+                continue;
+            if (!isComing && request.mustBegin)
+                places = find(request, { .trust = NodeTrust::suspect, .withAvoided = true });
         }
-        const Scope anywhere { .trust = NodeTrust::suspect, .withAvoided = true, .withReturning = true };
-        if (request.mayEvict && find(request, anywhere).empty() && evictFor(request, plan))
+        if (places.empty()) {
+            reserve(request);
             continue;
-        reserve(request);
+        }
+        take(request, places);
+        plan.starts.push_back({ i, std::move(places) });
     }
     return plan;
 }
@@ -156,22 +161,33 @@
     return request.isGang ? findGang(request, scope) : findTasks(request, scope);
 }
 
+/*! @brief Gives the least trust of executors that may start a request; the others must be able to hold it. */
+NodeTrust StartPlanner::worstTrust(const StartRequest& request) const
+{
+    // The failure of one member ends a whole gang.
+    if (!request.isGang && !request.avoidsDoubt)
+        return NodeTrust::suspect;
+    const std::int64_t needed = request.isGang ? request.tasks : 1;
+    const auto couldHold
+        = [&](NodeTrust trust) { return copiesIn(request, { .trust = trust, .whenEmpty = true }) >= needed; };
+    if (request.isLastTry && couldHold(NodeTrust::sound))
+        return NodeTrust::sound;
+    return couldHold(NodeTrust::doubtful) ? NodeTrust::doubtful : NodeTrust::suspect;
+}
+
 /*! @brief Looks for room on the executors that are trusted most. */
 StartPlanner::Places StartPlanner::findTrusted(const StartRequest& request) const
 {
-    // The failure of one member ends a whole gang.
     const bool isCareful = request.isGang || request.avoidsDoubt;
+    const auto worst = worstTrust(request);
     Places places;
     if (isCareful)
         places = find(request, { .trust = NodeTrust::sound });
-    if (places.empty())
+    if (places.empty() && worst >= NodeTrust::doubtful)
         places = find(request, {});
-    if (!places.empty())
-        return places;
-    const std::int64_t needed = request.isGang ? request.tasks : 1;
-    if (isCareful && !request.mayEvict && copiesIn(request, { .whenEmpty = true }) >= needed)
-        return places;
-    return find(request, { .trust = NodeTrust::suspect, .withAvoided = true });
+    if (places.empty() && worst >= NodeTrust::suspect)
+        places = find(request, { .trust = NodeTrust::suspect, .withAvoided = true });
+    return places;
 }
 
 void StartPlanner::take(const StartRequest& request, const Places& places)
@@ -239,7 +255,7 @@
         std::int64_t copies;
         EvictionChoice choice;
     };
-    const Scope scope { .rack = rack, .trust = NodeTrust::suspect, .withAvoided = true, .whenEmpty = true };
+    const Scope scope { .rack = rack, .trust = worstTrust(request), .withAvoided = true, .whenEmpty = true };
     std::vector<Candidate> candidates;
     for (std::size_t i = 0; i < m_nodes.size(); ++i) {
         // Stopping everything makes the most room; less room may cost less for each task.
--- a/src/lycheespool/dispatch/start_planner.h
+++ b/src/lycheespool/dispatch/start_planner.h
@@ -18,8 +18,9 @@
  * executor that has room, so that whole executors stay free. The first requests that find no room reserve the executors
  * that they wait for, so that later ones do not starve them. Guaranteed work stops other runs, those with the least
  * unsaved work first. An executor that fails fast is always free, so that it would draw and fail task after task:
- * suspects get one task at a time, and gangs only when the others could never hold them. No clock, no network: the same
- * input gives the same plan.
+ * suspects get one task at a time, and gangs only when the others could never hold them; the last try of a job waits
+ * for executors that have not failed lately, since late work is worth more than failed work. No clock, no network: the
+ * same input gives the same plan.
  */
 class StartPlanner {
 public:
@@ -74,6 +75,7 @@
     [[nodiscard]] Places findGang(const StartRequest& request, Scope scope) const;
     [[nodiscard]] Places findTasks(const StartRequest& request, Scope scope) const;
     [[nodiscard]] Places find(const StartRequest& request, const Scope& scope) const;
+    [[nodiscard]] NodeTrust worstTrust(const StartRequest& request) const;
     [[nodiscard]] Places findTrusted(const StartRequest& request) const;
     [[nodiscard]] std::set<std::string> racks() const;
     void take(const StartRequest& request, const Places& places);
--- a/src/lycheespool/dispatch/start_request.h
+++ b/src/lycheespool/dispatch/start_request.h
@@ -32,6 +32,10 @@
     std::set<std::string> avoidedNodes;
     /*! @brief The tasks have failed before, so that a further failure may end the job. */
     bool avoidsDoubt { false };
+    /*! @brief The start has a bound, so that suspects are used when no other work can be stopped. */
+    bool mustBegin { false };
+    /*! @brief A further failure ends the job. */
+    bool isLastTry { false };
     /*! @brief Other work may be stopped: the work is within its workspace's guarantee, or urgent and about to be late.
      */
     bool mayEvict { false };
--- a/test/lycheespool/dispatch/start_planner.cpp
+++ b/test/lycheespool/dispatch/start_planner.cpp
@@ -252,3 +252,57 @@
     CHECK(rankOf(base) < rankOf(late));
     CHECK(rankOf(late) < rankOf(worthless));
 }
+
+// Guards against a job that is shown as failed because its last try started on an executor that had failed lately: late
+// work is worth a part to its caller, failed work nothing.
+TEST_CASE("the last try of a gang waits for executors that have not failed lately")
+{
+    auto rooms = nodes(4, 4);
+    rooms[0].trust = NodeTrust::doubtful;
+    rooms[1].free.accelerators = 0;
+    auto request = tasks(3, 8, true);
+    CHECK(planOne(rooms, request).starts.size() == 1);
+    request.isLastTry = true;
+    CHECK(planOne(rooms, request).starts.empty());
+    rooms[1].free.accelerators = 8;
+    const auto plan = planOne(rooms, request);
+    REQUIRE(plan.starts.size() == 1);
+    CHECK(std::ranges::find(plan.starts[0].nodes, 0) == plan.starts[0].nodes.end());
+}
+
+// Guards against urgent gangs that are started on executors known to fail, although other work could make room.
+TEST_CASE("urgent work stops other work rather than starting a gang on suspects")
+{
+    auto rooms = nodes(3);
+    rooms[0].trust = NodeTrust::suspect;
+    rooms[2].free.accelerators = 0;
+    rooms[2].evictable.push_back({ 7, 0, 2, { 1000, 1000, 8 }, 10 });
+    auto request = tasks(2, 8, true);
+    request.mayEvict = true;
+    const auto plan = planOne(rooms, request);
+    CHECK(plan.starts.empty());
+    CHECK(plan.evictions == std::vector<std::size_t> { 7 });
+}
+
+// Guards against guaranteed work that misses its bound because all trusted executors run other guaranteed work.
+TEST_CASE("work whose start has a bound uses suspects when nothing can be stopped")
+{
+    auto rooms = nodes(3);
+    rooms[0].trust = NodeTrust::suspect;
+    rooms[2].free.accelerators = 0;
+    auto request = tasks(2, 8, true);
+    request.mayEvict = true;
+    CHECK(planOne(rooms, request).starts.empty());
+    request.mustBegin = true;
+    CHECK(planOne(rooms, request).starts.size() == 1);
+}
+
+// Guards against work that never starts because too few executors are trusted.
+TEST_CASE("a last try that only doubtful or suspected executors could hold starts there")
+{
+    auto rooms = nodes(2);
+    rooms[0].trust = NodeTrust::suspect;
+    auto request = tasks(2, 8, true);
+    request.isLastTry = true;
+    CHECK(planOne(rooms, request).starts.size() == 1);
+}
