Count only room that a request may use as room that is coming

A careful request that may stop other work counted free room on executors where its job had failed as room on its way, but starts there only when the others could never hold it; it would have waited beside them. Ruled out: letting it start there; the last try must not. Change: one function gives the executors that a request may use at all, and the search for room on its way, the choice of what to stop and the placement use it. Test: 'urgent work stops other work when only executors that it avoids have room' fails without the change.

--- a/src/lycheespool/dispatch/start_planner.cpp
+++ b/src/lycheespool/dispatch/start_planner.cpp
@@ -28,7 +28,8 @@
         const auto& request = requests[i];
         auto places = findTrusted(request);
         if (places.empty() && request.mayEvict) {
-            const Scope returning { .trust = worstTrust(request), .withAvoided = true, .withReturning = true };
+            auto returning = usableScope(request);
+            returning.withReturning = true;
             const bool isComing = !find(request, returning).empty();
             if (!isComing && evictFor(request, plan))
                 continue;
@@ -161,32 +162,32 @@
     return request.isGang ? findGang(request, scope) : findTasks(request, scope);
 }
 
-/*! @brief Gives the least trust of executors that may start a request; the others must be able to hold it. */
-NodeTrust StartPlanner::worstTrust(const StartRequest& request) const
+/*! @brief Gives the executors that may start a request at all; those left out would be able to hold it otherwise. */
+StartPlanner::Scope StartPlanner::usableScope(const StartRequest& request) const
 {
+    const Scope any { .trust = NodeTrust::suspect, .withAvoided = true };
     // The failure of one member ends a whole gang.
     if (!request.isGang && !request.avoidsDoubt)
-        return NodeTrust::suspect;
+        return any;
     const std::int64_t needed = request.isGang ? request.tasks : 1;
     const auto couldHold
         = [&](NodeTrust trust) { return copiesIn(request, { .trust = trust, .whenEmpty = true }) >= needed; };
     if (request.isLastTry && couldHold(NodeTrust::sound))
-        return NodeTrust::sound;
-    return couldHold(NodeTrust::doubtful) ? NodeTrust::doubtful : NodeTrust::suspect;
+        return { .trust = NodeTrust::sound };
+    return couldHold(NodeTrust::doubtful) ? Scope {} : any;
 }
 
 /*! @brief Looks for room on the executors that are trusted most. */
 StartPlanner::Places StartPlanner::findTrusted(const StartRequest& request) const
 {
-    const bool isCareful = request.isGang || request.avoidsDoubt;
-    const auto worst = worstTrust(request);
+    const auto usable = usableScope(request);
     Places places;
-    if (isCareful)
+    if (request.isGang || request.avoidsDoubt)
         places = find(request, { .trust = NodeTrust::sound });
-    if (places.empty() && worst >= NodeTrust::doubtful)
+    if (places.empty() && usable.trust >= NodeTrust::doubtful)
         places = find(request, {});
-    if (places.empty() && worst >= NodeTrust::suspect)
-        places = find(request, { .trust = NodeTrust::suspect, .withAvoided = true });
+    if (places.empty() && usable.trust >= NodeTrust::suspect)
+        places = find(request, usable);
     return places;
 }
 
@@ -255,7 +256,9 @@
         std::int64_t copies;
         EvictionChoice choice;
     };
-    const Scope scope { .rack = rack, .trust = worstTrust(request), .withAvoided = true, .whenEmpty = true };
+    auto scope = usableScope(request);
+    scope.rack = rack;
+    scope.whenEmpty = true;
     std::vector<Candidate> candidates;
     for (std::size_t i = 0; i < m_nodes.size(); ++i) {
         // Stopping everything makes the most room; less room may cost less for each task.
--- a/src/lycheespool/dispatch/start_planner.h
+++ b/src/lycheespool/dispatch/start_planner.h
@@ -75,7 +75,7 @@
     [[nodiscard]] Places findGang(const StartRequest& request, Scope scope) const;
     [[nodiscard]] Places findTasks(const StartRequest& request, Scope scope) const;
     [[nodiscard]] Places find(const StartRequest& request, const Scope& scope) const;
-    [[nodiscard]] NodeTrust worstTrust(const StartRequest& request) const;
+    [[nodiscard]] Scope usableScope(const StartRequest& request) const;
     [[nodiscard]] Places findTrusted(const StartRequest& request) const;
     [[nodiscard]] std::set<std::string> racks() const;
     void take(const StartRequest& request, const Places& places);
--- a/test/lycheespool/dispatch/start_planner.cpp
+++ b/test/lycheespool/dispatch/start_planner.cpp
@@ -284,6 +284,20 @@
     CHECK(plan.evictions == std::vector<std::size_t> { 7 });
 }
 
+// Guards against a gang that waits for ever beside free executors which it avoids, because their room counts as enough.
+TEST_CASE("urgent work stops other work when only executors that it avoids have room")
+{
+    auto rooms = nodes(2);
+    rooms[1].free.accelerators = 0;
+    rooms[1].evictable.push_back({ 7, 0, 2, { 1000, 1000, 8 }, 10 });
+    auto request = tasks(1, 8, true);
+    request.mayEvict = true;
+    request.avoidedNodes = { "n0" };
+    const auto plan = planOne(rooms, request);
+    CHECK(plan.starts.empty());
+    CHECK(plan.evictions == std::vector<std::size_t> { 7 });
+}
+
 // Guards against guaranteed work that misses its bound because all trusted executors run other guaranteed work.
 TEST_CASE("work whose start has a bound uses suspects when nothing can be stopped")
 {
