--- a/src/lycheespool/dispatch/start_planner.cpp
+++ b/src/lycheespool/dispatch/start_planner.cpp
@@ -165,7 +165,7 @@
 /*! @brief Gives the executors that may start a request at all; those left out would be able to hold it otherwise. */
 StartPlanner::Scope StartPlanner::usableScope(const StartRequest& request) const
 {
-    const Scope any { .trust = NodeTrust::suspect, .withAvoided = true };
+    Scope any { .trust = NodeTrust::suspect, .withAvoided = true };
     // The failure of one member ends a whole gang.
     if (!request.isGang && !request.avoidsDoubt)
         return any;
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -8,6 +8,7 @@
 #include <fmt/format.h>
 #include <tclap/CmdLine.h>
 
+#include <csignal>
 #include <cstdlib>
 #include <exception>
 #include <filesystem>
@@ -68,6 +69,16 @@
     }
 }
 
+/*! @brief Ends the processes of the system when this program is told to end, since they would outlive it. */
+Awaitable<> stopOnSignal(Deployment& deployment)
+{
+    asio::signal_set signals { co_await asio::this_coro::executor, SIGINT, SIGTERM };
+    const int number = co_await signals.async_wait(asio::use_awaitable);
+    deployment.stop();
+    // As a shell reports a program that a signal ended.
+    std::_Exit(128 + number);
+}
+
 SoakResult runOnce(const DeploymentSettings& settings, Duration length)
 {
     Referee referee;
@@ -76,6 +87,7 @@
     Deployment deployment { pool, settings, referee };
     Clients clients { pool, deployment, referee, settings.seed };
     Chaos chaos { pool, deployment, referee, settings.seed };
+    asio::co_spawn(pool.context(), stopOnSignal(deployment), asio::detached);
     asio::co_spawn(pool.context(), play(deployment, clients, chaos, referee, length), asio::use_future).get();
     pool.stop();
     deployment.stop();
