Give each run of the soak a directory of its own

Both soaks kept settings and logs in the directory of their seed, and the first to end removed it, so that the output file of a new process could not be opened. Change: the directory's name carries the process id. No check, bound or seed changes.

--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -14,6 +14,7 @@
 #include <filesystem>
 #include <fstream>
 #include <iostream>
+#include <unistd.h>
 
 namespace {
 
@@ -120,7 +121,9 @@
         settings.seed = seed.getValue() + static_cast<std::uint64_t>(i);
         settings.gateways = gateways.getValue();
         settings.executors = executors.getValue();
-        settings.directory = std::filesystem::path { logs.getValue() } / fmt::format("seed-{}", settings.seed);
+        // Soaks of one seed may run at the same time, and each removes its directory at its end.
+        settings.directory
+            = std::filesystem::path { logs.getValue() } / fmt::format("seed-{}-{}", settings.seed, ::getpid());
         std::filesystem::remove_all(settings.directory);
         std::filesystem::create_directories(settings.directory);
         const auto result = runOnce(settings, std::chrono::seconds { seconds.getValue() });
