Let urgent work stop other work before its forecast leaves it one second

Cause: half of the late urgent jobs of the large site waited. Jobs of priority 0 beyond their workspace's guarantee stopped other work only while the forecast left them less than a second, and nothing once it left them none. Change: dispatch/preemption.h decides with the forecast's uncertainty on both sides: work stops others as soon as it may become late, and no more when it is certainly late.

--- a/src/lycheespool/controller/controller_planning.cpp
+++ b/src/lycheespool/controller/controller_planning.cpp
@@ -2,6 +2,7 @@
 #include "lycheespool/controller/controller.h"
 
 #include "lycheespool/core/event_log.h"
+#include "lycheespool/dispatch/preemption.h"
 #include "lycheespool/dispatch/start_planner.h"
 
 #include <fmt/format.h>
@@ -25,12 +26,6 @@
 constexpr std::int64_t guaranteedRackWaitMs = 1000;
 // Stopping work of priority 0 costs its caller more than stopping other work.
 constexpr double urgentEvictionFactor = 20;
-// Urgent work stops other work when waiting longer would make it late: a stop takes up to 400 ms and an order some
-// more.
-constexpr std::int64_t preemptionSlackMs = 1000;
-// Most work to throw away for urgent work, as a multiple of its own. On the deployments served so far a core-second of
-// urgent work is worth ten to fifty times one of the other queues, whose jobs are repeated and seldom late for it.
-constexpr double preemptionBudget = 1;
 
 double coresOf(const ResourceVector& amount)
 {
@@ -160,13 +155,13 @@
         for (const auto& it : job.progress.at({ occurrence, step, i }).placements)
             ++request.tasksOn[it.node];
     }
-    const auto slack = objective - ageMs - remaining;
-    const bool isAboutToBeLate = slack > 0 && slack < preemptionSlackMs;
-    if (!isGuaranteed && policy.priority == 0 && isAboutToBeLate) {
+    const auto ownWork = coresOf(request.perTask) * spec.tasks * static_cast<double>(remaining) / 1000.0;
+    const auto preemption
+        = preemptionFor({ policy.priority, ageMs, objective, remaining, uncertainty, ownWork }, m_settings.preemption);
+    if (!isGuaranteed && preemption.mayEvict) {
         request.mayEvict = true;
         request.evictsAbove = policy.priority + 1;
-        request.evictionBudget
-            = preemptionBudget * coresOf(request.perTask) * spec.tasks * static_cast<double>(remaining) / 1000.0;
+        request.evictionBudget = preemption.budget;
     }
     const RankInput input { policy.priority, isGuaranteed, ageMs, objective, remaining, uncertainty };
     if (job.failedNodes.size() <= std::max(maxAvoidedNodes, m_nodes.size() / avoidedNodesOneIn))
@@ -292,7 +287,7 @@
         }
         for (const auto handle : plan.evictions) {
             m_runsEvicted.add();
-            stopRun(handles[handle], "evicted for guaranteed work");
+            stopRun(handles[handle], "evicted for more important work");
         }
     }
     return nextDue;
--- a/src/lycheespool/controller/controller_settings.h
+++ b/src/lycheespool/controller/controller_settings.h
@@ -2,6 +2,7 @@
 
 #include "lycheespool/cluster/node_settings.h"
 #include "lycheespool/core/clock.h"
+#include "lycheespool/dispatch/preemption.h"
 
 #include <algorithm>
 #include <chrono>
@@ -24,6 +25,7 @@
     Duration suspicion { std::chrono::seconds { 10 } };
     /*! @brief Oldest contact with an agent on which a start may rely. */
     Duration contactAge { std::chrono::milliseconds { 2200 } };
+    PreemptionLimits preemption;
     /*! @brief Time for which a free leader lease is left to other candidates. */
     Duration reluctance {};
     ClusterBounds bounds;
--- a/src/lycheespool/dispatch/fwd.h
+++ b/src/lycheespool/dispatch/fwd.h
@@ -9,6 +9,9 @@
 struct EvictableRun;
 struct LeavingRun;
 struct NodeRoom;
+struct PreemptionInput;
+struct PreemptionLimits;
+struct PreemptionRule;
 struct StartPlan;
 struct StartRequest;
 
--- a/test/lycheespool/controller/cluster_simulation.h
+++ b/test/lycheespool/controller/cluster_simulation.h
@@ -33,6 +33,14 @@
     int restartMs { 0 };
 };
 
+/*! @brief Size of a simulated cluster. */
+struct SimulationSize {
+    std::size_t nodes { 1 };
+    std::size_t nodesPerRack { 3 };
+    /*! @brief Guaranteed accelerators by workspace; empty for one workspace with three for each node. */
+    std::map<std::string, std::int64_t> guarantees {};
+};
+
 /*! @brief What a client got for one job. */
 struct SimulatedJob {
     JobRow row;
@@ -56,18 +64,28 @@
     static constexpr ResourceVector capacity { 64000, 131072, 8 };
 
     ClusterSimulation(std::uint64_t seed, std::size_t nodes, const SimulationFaults& faults)
+        : ClusterSimulation { seed, SimulationSize { nodes }, faults, {} }
+    {
+    }
+
+    ClusterSimulation(std::uint64_t seed, const SimulationSize& size, const SimulationFaults& faults,
+        const PreemptionLimits& preemption)
         : m_random { seed }
         , m_faults { faults }
     {
-        for (std::size_t i = 0; i < nodes; ++i) {
+        m_settings.preemption = preemption;
+        for (std::size_t i = 0; i < size.nodes; ++i) {
             Executor executor;
             executor.node = "node-" + std::to_string(i);
-            executor.rack = "rack-" + std::to_string(i / 3);
+            executor.rack = "rack-" + std::to_string(i / size.nodesPerRack);
             executor.lifetime = { "executor-" + std::to_string(i), ++m_births };
             m_executors.push_back(std::move(executor));
         }
         auto config = std::make_shared<OperatorConfig>();
-        config->workspaces.push_back({ "guaranteed", {}, static_cast<std::int64_t>(nodes) * 3 });
+        for (const auto& [name, accelerators] : size.guarantees)
+            config->workspaces.push_back({ name, {}, accelerators });
+        if (size.guarantees.empty())
+            config->workspaces.push_back({ "guaranteed", {}, static_cast<std::int64_t>(size.nodes) * 3 });
         m_config = std::move(config);
         m_settings.bounds.maxLease = std::chrono::seconds { 7 };
         takeOver();
