Pass calls on while the store is silent to this entry, and choose the time to come back by objective and outage

A rejected caller came back after one or two seconds whatever its work, so that four attempts covered 3 or 6 s of an outage. Calls denied by the config and calls answered through another entry left no log line. Ruled out: shorter attempts, which a store 60 times slower never answers (0.75 s for a write). Change: while the store has answered no call of the process for 400 ms, the call also goes to another entry; the id keeps the job one job, and the first useful answer is returned. Silence is judged by all calls of the process. Patient work (objective above 10 s) comes back after 3 s in an outage, urgent work after 1 s while the outage is young, then 2 s. What is left in an outage for all entries is bound by the store.

--- a/src/lycheespool/controller/controller_planning.cpp
+++ b/src/lycheespool/controller/controller_planning.cpp
@@ -344,9 +344,9 @@
         { { "job", job.id }, { "tasks", placed }, { "tier", waiting.rank.tier }, { "slack_ms", waiting.rank.slackMs },
             { "late", waiting.rank.isLate }, { "age_ms", waiting.input.ageMs }, { "ready_ms", waiting.readyMs },
             { "objective_ms", waiting.input.objectiveMs }, { "remaining_ms", waiting.input.remainingMs },
-            { "gang", spec.isGang }, { "left_waiting", round.waiting.size() },
-            { "remote_accepted", waiting.request.acceptsRemote }, { "config_version", m_config->version },
-            { "epoch", m_epoch.value() } });
+            { "gang", spec.isGang }, { "priced_cores", coresOf(spec.charged()) },
+            { "left_waiting", round.waiting.size() }, { "remote_accepted", waiting.request.acceptsRemote },
+            { "config_version", m_config->version }, { "epoch", m_epoch.value() } });
 }
 
 /*! @brief Tells whether a start that was decided earlier is still right. */
--- a/src/lycheespool/gateway/fwd.h
+++ b/src/lycheespool/gateway/fwd.h
@@ -5,5 +5,6 @@
 class JobDirectory;
 
 struct JobSummary;
+struct RetrySituation;
 
 }
--- a/src/lycheespool/gateway/job_gateway.h
+++ b/src/lycheespool/gateway/job_gateway.h
@@ -7,6 +7,7 @@
 #include "lycheespool/core/event_log.h"
 #include "lycheespool/core/metrics.h"
 #include "lycheespool/gateway/job_directory.h"
+#include "lycheespool/gateway/retry_advice.h"
 #include "lycheespool/net/sleep.h"
 #include "lycheespool/store/row_store.h"
 #include "lycheespool/workload/job_request.h"
@@ -174,22 +175,20 @@
 
     /**
      * @brief Tells when a rejected client should come back.
-     * @return A second, or longer while the store is away, since clients make only a few attempts.
+     * @param objective Latency objective of the call's work; zero when it has none or is not known.
+     * @return Whole seconds.
      */
-    [[nodiscard]] std::chrono::seconds retryAfter() const
+    [[nodiscard]] std::chrono::seconds retryAfter(Duration objective = {}) const
     {
-        const bool isAway = m_isDown || BootClock {}.now() - m_answeredAt > silenceLimit;
-        return std::chrono::seconds { isAway ? 2 : 1 };
+        const bool isAway = m_isDown || silence() > silenceLimit;
+        return adviseRetry({ objective, isAway ? silence() : Duration {} });
     }
 
     /**
      * @brief Tells whether the store answered lately.
      * @return False while submissions would fail.
      */
-    [[nodiscard]] bool isStoreReachable() const
-    {
-        return !m_isDown && BootClock {}.now() - m_answeredAt <= silenceLimit;
-    }
+    [[nodiscard]] bool isStoreReachable() const { return !m_isDown && silence() <= silenceLimit; }
 
     /*! @brief Follows the states of jobs until the context ends. */
     [[nodiscard]] Awaitable<> run()
@@ -210,7 +209,17 @@
         }
     }
 
+    /**
+     * @brief Tells whether the store has answered no call of this process since a time.
+     * @param since The time.
+     * @return True while the store is silent, not merely slow.
+     */
+    [[nodiscard]] bool isStoreSilentSince(TimePoint since) const { return m_store.answeredAt() < since; }
+
 private:
+    /*! @brief Time since the store answered last. */
+    [[nodiscard]] Duration silence() const { return BootClock {}.now() - m_store.answeredAt(); }
+
     [[nodiscard]] std::int64_t stateAgeMs() const
     {
         return std::chrono::duration_cast<std::chrono::milliseconds>(BootClock {}.now() - m_confirmedAt).count();
@@ -233,7 +242,7 @@
     [[nodiscard]] Awaitable<GatewayResult> write(RowTransaction transaction, TimePoint deadline, Settled settled)
     {
         // Without an attempt nothing can take effect, so the client may go elsewhere at once.
-        if (BootClock {}.now() - m_answeredAt > silenceLimit)
+        if (silence() > silenceLimit)
             co_return GatewayResult::rejected;
         bool mayHappen = false;
         unsigned refusals = 0;
@@ -259,7 +268,6 @@
                         { "may_happen", mayHappen }, { "attempt", refusals } });
             }
             if (commit) {
-                m_answeredAt = BootClock {}.now();
                 settled(*commit);
                 co_return GatewayResult::accepted;
             }
@@ -280,13 +288,11 @@
             for (const auto& it : list.rows)
                 takeIn(it);
             m_version = list.version;
-            m_answeredAt = BootClock {}.now();
             m_isListed = true;
         } else {
             std::string table { RowNames::progressTable };
             const auto changes
                 = co_await m_store.changes(std::move(table), m_version, feedWait, feedWait + attemptTimeout);
-            m_answeredAt = BootClock {}.now();
             if (changes.isHistoryLost) {
                 logEvent("states_history_lost", { { "version", m_version } });
                 m_isListed = false;
@@ -326,8 +332,6 @@
     bool m_isListed { false };
     bool m_isDown { false };
     TimePoint m_confirmedAt { -std::chrono::hours { 24 } };
-    /*! @brief When the store answered last; a new process makes one attempt before it judges. */
-    TimePoint m_answeredAt { BootClock {}.now() };
     TimePoint m_slowUntil { -std::chrono::hours { 24 } };
     Counter& m_accepted;
     Counter& m_repeated;
--- a/src/lycheespool/gateway/peer_relay.h
+++ b/src/lycheespool/gateway/peer_relay.h
@@ -98,6 +98,9 @@
             }
             if (reply && reply->status != unavailableStatus) {
                 m_relayed.add();
+                logEvent("call_relayed",
+                    { { "method", call.method }, { "job", call.path.substr(call.path.rfind('/') + 1) },
+                        { "peer", address.toString() }, { "status", reply->status } });
                 result.reply = std::move(reply);
                 co_return result;
             }
--- a/src/lycheespool/store/row_store.h
+++ b/src/lycheespool/store/row_store.h
@@ -88,6 +88,7 @@
  * - `commit(transaction, timeout)` gives a RowCommit.
  * - `list(range, timeout)` gives all rows of a range.
  * - `changes(table, after, wait, timeout)` waits for changes of a table.
+ * - `answeredAt()` is the time of the newest answer to any call, or of the start of the process.
  *
  * All throw Error: unavailable or overloaded when nothing was done, outcomeUnknown when the operation may still happen.
  */
@@ -104,6 +105,9 @@
     {
         store.changes(text, version, time, time)
         } -> std::same_as<Awaitable<RowChanges>>;
+    {
+        store.answeredAt()
+        } -> std::same_as<TimePoint>;
 };
 
 }
--- a/test/lycheespool/store/fake_row_store.h
+++ b/test/lycheespool/store/fake_row_store.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "lycheespool/core/boot_clock.h"
 #include "lycheespool/core/error.h"
 #include "lycheespool/net/sleep.h"
 #include "lycheespool/store/row_store.h"
@@ -31,16 +32,26 @@
 
     /*! @brief Refuses every call. */
     bool isRefusing { false };
+    /*! @brief Leaves commits without an answer until their timeout; they take no effect. */
+    bool isSilent { false };
+    /*! @brief Time of the newest answer. */
+    TimePoint answered { BootClock {}.now() };
     /*! @brief Commits that take effect without an answer. */
     unsigned loseAnswers { 0 };
     /*! @brief Commits without an answer that take effect only when applyLate() is called. */
     unsigned delayCommits { 0 };
     unsigned commits { 0 };
 
-    [[nodiscard]] Awaitable<RowCommit> commit(RowTransaction transaction, Duration)
+    [[nodiscard]] TimePoint answeredAt() const { return answered; }
+
+    [[nodiscard]] Awaitable<RowCommit> commit(RowTransaction transaction, Duration timeout)
     {
         ++commits;
         refuse();
+        if (isSilent) {
+            co_await sleepFor(timeout);
+            throw Error { ErrorKind::outcomeUnknown, "no answer", "read the rows back" };
+        }
         if (delayCommits > 0) {
             --delayCommits;
             m_late.push_back(std::move(transaction));
@@ -51,12 +62,14 @@
             --loseAnswers;
             throw Error { ErrorKind::outcomeUnknown, "no answer", "read the rows back" };
         }
+        answered = BootClock {}.now();
         co_return commit;
     }
 
     [[nodiscard]] Awaitable<RowList> list(RowRange range, Duration)
     {
         refuse();
+        answered = BootClock {}.now();
         RowList list;
         list.version = m_rows.version;
         for (const auto& [name, row] : m_rows.rows) {
@@ -79,6 +92,7 @@
         }
         if (changes.rows.empty())
             co_await sleepFor(std::min<Duration>(wait, std::chrono::milliseconds { 5 }));
+        answered = BootClock {}.now();
         co_return changes;
     }
 
--- a/test/platform/client_api.cpp
+++ b/test/platform/client_api.cpp
@@ -19,7 +19,10 @@
 /*! @brief An entry whose store refuses everything once its config is read, beside a peer that denies every call. */
 class Fixture {
 public:
-    explicit Fixture(unsigned peerStatus)
+    /*! @brief How the store treats this entry once the config is read. */
+    enum class StoreFault { refuses, silent, slowCommits };
+
+    explicit Fixture(unsigned peerStatus, StoreFault fault = StoreFault::refuses)
         : m_peer { m_pool, { "127.0.0.1", 0 }, m_metrics,
             [this, peerStatus](const auto& source, Envelope envelope) {
                 ++m_relayed;
@@ -38,10 +41,16 @@
         std::promise<void> isRead;
         asio::co_spawn(
             m_pool.context(),
-            [this, &isRead]() -> Awaitable<> {
+            [this, fault, &isRead]() -> Awaitable<> {
                 co_await m_watcher.step();
-                m_store.isRefusing = true;
+                m_store.isRefusing = fault == StoreFault::refuses;
+                m_store.isSilent = fault != StoreFault::refuses;
                 isRead.set_value();
+                // Other calls are still answered by a store that is only slow.
+                while (fault == StoreFault::slowCommits) {
+                    m_store.answered = BootClock {}.now();
+                    co_await sleepFor(100ms);
+                }
             },
             asio::detached);
         isRead.get_future().wait();
@@ -96,3 +105,19 @@
     CHECK(f.post("other") == 503);
     CHECK(f.relayed() == 0);
 }
+
+// Guards against callers of urgent work that wait nearly two seconds at an entry which is cut from the store.
+TEST_CASE("a job is stored through another entry while the store leaves this one without an answer")
+{
+    Fixture f { 200, Fixture::StoreFault::silent };
+    CHECK(f.post("h") == 200);
+    CHECK(f.relayed() == 1);
+}
+
+// Guards against a second write of each job when the store is slow for everyone.
+TEST_CASE("a job is not passed on while the store answers other calls")
+{
+    Fixture f { 200, Fixture::StoreFault::slowCommits };
+    CHECK(f.post("h") == 504);
+    CHECK(f.relayed() == 0);
+}
