Choose the time to come back within the caller's patience

X-Request-Deadline covers all attempts, so that a time to come back of 3 s is beyond it. Ruled out: a fault in the judgement of silence; the store had answered this entry 2 ms before. Change: in an outage patient work spreads four attempts over the patience that the call still states, from 1 to 5 s; urgent work comes back after 1 s.

--- a/src/lycheespool/gateway/job_gateway.h
+++ b/src/lycheespool/gateway/job_gateway.h
@@ -175,13 +175,13 @@
 
     /**
      * @brief Tells when a rejected client should come back.
+     * @param patience Time for which the client still waits, further attempts included.
      * @param objective Latency objective of the call's work; zero when it has none or is not known.
      * @return Whole seconds.
      */
-    [[nodiscard]] std::chrono::seconds retryAfter(Duration objective = {}) const
+    [[nodiscard]] std::chrono::seconds retryAfter(Duration patience, Duration objective = {}) const
     {
-        const bool isAway = m_isDown || silence() > silenceLimit;
-        return adviseRetry({ objective, isAway ? silence() : Duration {} });
+        return adviseRetry({ objective, patience, m_isDown || silence() > silenceLimit });
     }
 
     /**
