Close the agents' connections only when the present term has ended

A candidate that asks with an older row about an earlier term of the same process was told no, and the leader of the present term then closed all its connections to agents, which costs 0.2 s without starts. Change: connections are closed only when the process does not hold the lease.

--- a/src/lycheespool/controller/leader_host.h
+++ b/src/lycheespool/controller/leader_host.h
@@ -136,9 +136,11 @@
      */
     [[nodiscard]] LeaseInquiryReply onInquiry(const LeaseInquiry& inquiry, std::uint64_t incarnation)
     {
-        const bool leads = m_leadership.confirm(inquiry.incarnation, inquiry.epoch, BootClock {}.now());
-        // Agents look for the successor at once instead of at their next report.
-        if (!leads && m_controller)
+        const auto now = BootClock {}.now();
+        const bool leads = m_leadership.confirm(inquiry.incarnation, inquiry.epoch, now);
+        // Agents look for the successor at once instead of at their next report. A question about an earlier term says
+        // nothing about the present one.
+        if (!leads && m_controller && !m_leadership.isHeld(now))
             closeConnections();
         return { incarnation, leads };
     }
--- a/src/lycheespool/controller/leadership.h
+++ b/src/lycheespool/controller/leadership.h
@@ -37,7 +37,7 @@
 template <RowStore Store, HolderProbe Probe>
 class Leadership {
 public:
-    /*! @brief Times for tasks of seconds. */
+    /*! @brief Times for tasks of seconds; instead of waiting for takeoverDelay, candidates ask the holder. */
     static constexpr LeaderLeaseTimes times { std::chrono::milliseconds { 500 }, std::chrono::milliseconds { 1700 },
         std::chrono::milliseconds { 2200 } };
     /*! @brief Longest time for an answer of the store. */
@@ -265,7 +265,12 @@
         // The row of an earlier process on the same VM is free at once, since two processes never share a VM.
         if (!row.holder.empty() && row.holder == m_self.holder)
             co_return co_await takeOver(row);
-        if (!row.holder.empty() && !co_await isAbandoned(row)) {
+        bool isFree = row.holder.empty();
+        if (!isFree) {
+            auto holder = row;
+            isFree = co_await isAbandoned(std::move(holder));
+        }
+        if (!isFree) {
             m_freeSince.reset();
             co_return LeadershipChange::none;
         }
@@ -284,7 +289,8 @@
         m_isOverdue = unchanged >= overdueAfter;
         if (unchanged < overdueAfter + candidateSpread())
             co_return false;
-        const auto state = co_await m_probe.ask(row);
+        auto asked = row;
+        const auto state = co_await m_probe.ask(std::move(asked));
         const bool isAbandoned = state == HolderState::gone || state == HolderState::yielded
             || (state == HolderState::silent && unchanged >= silentHolderDelay + candidateSpread());
         logEvent("lease_overdue",
