--- a/src/lycheespool/controller/rpc_holder_probe.cpp
+++ b/src/lycheespool/controller/rpc_holder_probe.cpp
@@ -31,9 +31,9 @@
         },
         asio::detached);
     auto state = HolderState::silent;
-    LeaseInquiry inquiry { row.incarnation, row.epoch };
+    const LeaseInquiry inquiry { row.incarnation, row.epoch };
     try {
-        const auto reply = co_await connection->call<LeaseInquiryReply>(std::move(inquiry), timeout);
+        const auto reply = co_await connection->call<LeaseInquiryReply>(inquiry, timeout);
         // Another process at the address shows that the holder's has ended.
         if (reply.incarnation != row.incarnation)
             state = HolderState::gone;
