--- a/src/lycheespool/controller/controller_settings.h
+++ b/src/lycheespool/controller/controller_settings.h
@@ -15,7 +15,8 @@
     Duration permit { std::chrono::seconds { 7 } };
     /*! @brief A leader without the store goes on granting permits this long after its lease ran out. */
     Duration passiveGrace { std::chrono::seconds { 6 } };
-    /*! @brief Longest time for which a previous leader may act after its successor took over. */
+    /*! @brief Longest time for which a previous leader may act after its successor took over: its term of the lease,
+     * Leadership::times.holderTerm. */
     Duration predecessorTerm { std::chrono::milliseconds { 1700 } };
     /*! @brief Time after which an order without an outcome is sent again. */
     Duration orderRetry { std::chrono::milliseconds { 1500 } };
@@ -36,7 +37,8 @@
 
     /*! @brief Processor share from which on a VM leads without delay; a leader of 240 executors uses up to 0.1. */
     static constexpr double leaderProcessorShare = 0.2;
-    /*! @brief Time for which VMs with less leave a free lease to the others, which look at it each 200 ms by then. */
+    /*! @brief Time for which VMs with less leave a free lease to the others, which look at an overdue row each 100 ms.
+     */
     static constexpr Duration smallVmReluctance = std::chrono::milliseconds { 400 };
 
     /**
--- a/src/lycheespool/controller/leadership.h
+++ b/src/lycheespool/controller/leadership.h
@@ -44,7 +44,8 @@
     static constexpr Duration answerTimeout = std::chrono::milliseconds { 1200 };
     /*! @brief A row without a renewal for this long is overdue; a renewal each 500 ms may need 250 ms. */
     static constexpr Duration overdueAfter = std::chrono::milliseconds { 750 };
-    /*! @brief A candidate takes over from a holder that does not answer when the row stood still for this long. */
+    /*! @brief A candidate takes over from a holder that does not answer when the row stood still for this long; shorter
+     * than the holder's term, for which ControllerSettings::predecessorTerm allows. */
     static constexpr Duration silentHolderDelay = std::chrono::milliseconds { 1300 };
     /*! @brief Pause before the next step of a holder whose renewal failed. */
     static constexpr Duration settleInterval = std::chrono::milliseconds { 100 };
--- a/test/lycheespool/dispatch/node_speeds.cpp
+++ b/test/lycheespool/dispatch/node_speeds.cpp
@@ -113,6 +113,7 @@
         }
         speeds.addStep(runs);
     }
+    // The weight of ControllerSettings::urgentSpeedWeight.
     const auto preferring = gangsInTime(speeds, 3);
     const auto ignoring = gangsInTime(speeds, 0);
     MESSAGE("urgent gangs in time: speeds preferred " << preferring << ", ignored " << ignoring);
