--- a/src/lycheespool/core/boot_clock.h
+++ b/src/lycheespool/core/boot_clock.h
@@ -10,7 +10,7 @@
 /*! @brief Clock that also counts the time while the VM is suspended, so that a lease does not survive a suspension. */
 struct BootClock {
     /**
-     * @brief Reads the clock.
+     * @brief Returns the current time.
      * @return The present time.
      */
     [[nodiscard]] TimePoint now() const
@@ -22,7 +22,7 @@
 };
 
 /**
- * @brief Reads the time of day.
+ * @brief Returns the time of day.
  * @return Unix time in milliseconds.
  */
 [[nodiscard]] inline std::int64_t unixMillis()
--- a/src/lycheespool/core/clock.h
+++ b/src/lycheespool/core/clock.h
@@ -12,7 +12,7 @@
 /*! @brief Reads the monotonic clock of the process. */
 struct SteadyClock {
     /**
-     * @brief Reads the clock.
+     * @brief Returns the current time.
      * @return The present time.
      */
     [[nodiscard]] TimePoint now() const { return std::chrono::steady_clock::now(); }
@@ -22,13 +22,13 @@
 class ManualClock {
 public:
     /**
-     * @brief Reads the clock.
+     * @brief Returns the current time.
      * @return The time set last.
      */
     [[nodiscard]] TimePoint now() const { return m_now; }
 
     /**
-     * @brief Moves the clock forward.
+     * @brief Advances the clock.
      * @param step Time to add.
      */
     void advance(Duration step) { m_now += step; }
--- a/src/lycheespool/core/counter.h
+++ b/src/lycheespool/core/counter.h
@@ -10,7 +10,7 @@
 class Counter {
 public:
     /**
-     * @brief Refers to a counter of the registry.
+     * @brief Wraps a counter of the registry.
      * @param counter Counter that outlives this object.
      */
     explicit Counter(prometheus::Counter& counter)
--- a/src/lycheespool/core/error.h
+++ b/src/lycheespool/core/error.h
@@ -6,7 +6,7 @@
 
 namespace lycheespool {
 
-/*! @brief What went wrong, as far as callers treat it differently. */
+/*! @brief Categories of errors that callers treat differently. */
 enum class ErrorKind {
     invalidArgument,
     invalidSetting,
@@ -33,7 +33,7 @@
 class Error : public std::runtime_error {
 public:
     /**
-     * @brief Makes an error.
+     * @brief Constructs an error.
      * @param kind What went wrong.
      * @param message What was seen.
      * @param remedy What the reader can do about it.
@@ -41,13 +41,13 @@
     Error(ErrorKind kind, const std::string& message, std::string remedy);
 
     /**
-     * @brief Says what went wrong.
+     * @brief Returns the category of the error.
      * @return The kind given at construction.
      */
     [[nodiscard]] ErrorKind kind() const { return m_kind; }
 
     /**
-     * @brief Says what to do about it.
+     * @brief Returns the suggested remedy.
      * @return The remedy given at construction.
      */
     [[nodiscard]] const std::string& remedy() const { return m_remedy; }
--- a/src/lycheespool/core/event_log.h
+++ b/src/lycheespool/core/event_log.h
@@ -11,7 +11,7 @@
 /**
  * @brief Starts the structured log of this process on standard output.
  *
- * Lines are queued and written by a thread of their own. A full queue drops its oldest lines instead of blocking.
+ * Lines are queued and written by a separate thread. A full queue drops its oldest lines instead of blocking.
  *
  * @param process Name of the process, repeated in each line.
  */
--- a/src/lycheespool/core/latency_histogram.h
+++ b/src/lycheespool/core/latency_histogram.h
@@ -8,7 +8,7 @@
 class LatencyHistogram {
 public:
     /**
-     * @brief Refers to a histogram of the registry.
+     * @brief Wraps a histogram of the registry.
      * @param histogram Histogram that outlives this object.
      */
     explicit LatencyHistogram(prometheus::Histogram& histogram)
--- a/src/lycheespool/core/metrics.h
+++ b/src/lycheespool/core/metrics.h
@@ -20,14 +20,14 @@
 class Metrics {
 public:
     /**
-     * @brief Finds or makes a counter.
+     * @brief Finds or creates a counter.
      * @param name Name with its unit, as in `frames_received_total`.
      * @return The counter.
      */
     [[nodiscard]] Counter& counter(const std::string& name);
 
     /**
-     * @brief Finds or makes a latency histogram.
+     * @brief Finds or creates a latency histogram.
      * @param name Name that ends with the unit, `_ms`.
      * @return The histogram.
      */
--- a/src/lycheespool/core/published.h
+++ b/src/lycheespool/core/published.h
@@ -27,7 +27,7 @@
     class Reader {
     public:
         /**
-         * @brief Makes a reader.
+         * @brief Constructs a reader.
          * @param published Cell to read; must outlive the reader.
          */
         explicit Reader(const Published& published)
@@ -36,7 +36,7 @@
         }
 
         /**
-         * @brief Gives the present version.
+         * @brief Returns the current version.
          * @return Never null; stays valid until the next call, or longer when copied.
          */
         [[nodiscard]] const Snapshot& get()
@@ -61,7 +61,7 @@
     }
 
     /**
-     * @brief Takes the present version.
+     * @brief Returns a snapshot of the current version.
      * @return Never null.
      */
     [[nodiscard]] Snapshot load() const
@@ -71,13 +71,13 @@
     }
 
     /**
-     * @brief Replaces the present version.
+     * @brief Replaces the current version.
      * @param value The new version.
      */
     void store(Value value) { publish(std::make_shared<const Value>(std::move(value))); }
 
     /**
-     * @brief Replaces the present version by a changed copy; concurrent updates happen one after the other.
+     * @brief Replaces the current version by a changed copy; concurrent updates happen one after the other.
      * @tparam Change Callable as `void(Value&)`.
      * @param change Changes the copy.
      */
--- a/src/lycheespool/core/strong.h
+++ b/src/lycheespool/core/strong.h
@@ -30,7 +30,7 @@
     }
 
     /**
-     * @brief Gives the underlying value.
+     * @brief Returns the underlying value.
      * @return The wrapped value.
      */
     [[nodiscard]] constexpr const Value& value() const { return m_value; }
