--- a/src/lycheespool/wire/message_type.h
+++ b/src/lycheespool/wire/message_type.h
@@ -27,7 +27,7 @@
 };
 
 /**
- * @brief Tells replies from requests.
+ * @brief Checks if a message type is a reply.
  * @param type Type of a message.
  * @return True when the message answers a call of the receiver.
  */
--- a/src/lycheespool/wire/messages.h
+++ b/src/lycheespool/wire/messages.h
@@ -109,7 +109,7 @@
     MSGPACK_DEFINE(request, incarnation, idempotent, deadlineMs, key, body)
 };
 
-/*! @brief What became of a request. */
+/*! @brief Outcome of a request. */
 enum class Outcome : std::uint8_t {
     done,
     notRun,
@@ -129,7 +129,7 @@
     MSGPACK_DEFINE(request, incarnation, outcome, status, slotsFree, body)
 };
 
-/*! @brief What a leader wants an agent to do with its part of a gang. */
+/*! @brief Operation that a leader requests for an agent's part of a gang. */
 enum class OrderKind : std::uint8_t {
     reserve,
     start,
@@ -189,7 +189,7 @@
     MSGPACK_DEFINE(known)
 };
 
-/*! @brief What an agent knows about a non-idempotent request of its present incarnation. */
+/*! @brief An agent's knowledge about a non-idempotent request of its current incarnation. */
 enum class ExecutionState : std::uint8_t {
     /*! @brief The executor has the request and has not answered yet. */
     running,
--- a/src/lycheespool/wire/node_messages.h
+++ b/src/lycheespool/wire/node_messages.h
@@ -20,7 +20,7 @@
     ready,
     /*! @brief The executor leaves; what runs on it ends with it. */
     draining,
-    /*! @brief The executor said goodbye. */
+    /*! @brief The executor has deregistered. */
     departed,
 };
 
@@ -123,7 +123,7 @@
     MSGPACK_DEFINE(epoch, lifetime, basedOnMs, endsStored, orders)
 };
 
-/*! @brief What became of an order. */
+/*! @brief Outcome of an order. */
 enum class RunOrderResult : std::uint8_t {
     started,
     /*! @brief The run was stopped, or can never start any more. */
