--- a/src/lycheespool/net/acceptor.h
+++ b/src/lycheespool/net/acceptor.h
@@ -14,7 +14,7 @@
 void listenOn(asio::ip::tcp::acceptor& acceptor, const Address& address);
 
 /**
- * @brief Gives the bound address.
+ * @brief Returns the bound address.
  * @param acceptor Listening acceptor.
  * @return Address with the real port.
  */
--- a/src/lycheespool/net/address.h
+++ b/src/lycheespool/net/address.h
@@ -17,7 +17,7 @@
     friend auto operator<=>(const Address&, const Address&) = default;
 
     /**
-     * @brief Gives the endpoint for Asio.
+     * @brief Returns the endpoint as an Asio type.
      * @return TCP endpoint.
      */
     [[nodiscard]] asio::ip::tcp::endpoint endpoint() const;
--- a/src/lycheespool/net/connect.h
+++ b/src/lycheespool/net/connect.h
@@ -17,7 +17,7 @@
 [[nodiscard]] Awaitable<std::optional<asio::ip::tcp::socket>> connectTo(Address address, Duration timeout);
 
 /**
- * @brief Connects to an address within a time, and tells why there is no connection.
+ * @brief Connects to an address within a time, and reports why a connection failed.
  * @param address The address.
  * @param timeout Longest time to wait.
  * @param ec Receives the error; must outlive the operation.
--- a/src/lycheespool/net/http_client.h
+++ b/src/lycheespool/net/http_client.h
@@ -18,7 +18,7 @@
 class HttpClient {
 public:
     /**
-     * @brief Makes a client; connects on first use.
+     * @brief Constructs a client; connects on first use.
      * @param address Address of the server.
      */
     explicit HttpClient(Address address);
--- a/src/lycheespool/net/http_server.h
+++ b/src/lycheespool/net/http_server.h
@@ -48,7 +48,7 @@
     HttpServer& operator=(const HttpServer&) = delete;
 
     /**
-     * @brief Gives the bound address.
+     * @brief Returns the bound address.
      * @return Address with the real port.
      */
     [[nodiscard]] Address address() const;
@@ -69,7 +69,7 @@
 };
 
 /**
- * @brief Makes a problem-details response for an error.
+ * @brief Constructs a problem-details response for an error.
  * @param error The error.
  * @return Response with a fitting status and, where a retry helps, `Retry-After`.
  */
--- a/src/lycheespool/net/io_pool.h
+++ b/src/lycheespool/net/io_pool.h
@@ -26,20 +26,20 @@
     IoPool& operator=(const IoPool&) = delete;
 
     /**
-     * @brief Gives the context of one thread; the first one runs timers and control work.
+     * @brief Returns the context of one thread; the first one runs timers and control work.
      * @param index Number of the thread, below size().
      * @return The context.
      */
     [[nodiscard]] asio::io_context& context(std::size_t index = 0) { return *m_contexts[index]; }
 
     /**
-     * @brief Gives the contexts in turn.
+     * @brief Returns the contexts in turn.
      * @return The next context.
      */
     [[nodiscard]] asio::io_context& next() { return *m_contexts[m_next.fetch_add(1) % m_contexts.size()]; }
 
     /**
-     * @brief Counts the threads.
+     * @brief Returns the number of threads.
      * @return Number of threads.
      */
     [[nodiscard]] std::size_t size() const { return m_contexts.size(); }
--- a/src/lycheespool/net/pending_result.h
+++ b/src/lycheespool/net/pending_result.h
@@ -13,7 +13,7 @@
 /**
  * @brief Result of a coroutine that runs on its own, so that its starter may stop waiting for it.
  *
- * To be used on one thread.
+ * Must be used from a single thread.
  *
  * @tparam Result Type of the result.
  */
@@ -40,11 +40,11 @@
         return pending;
     }
 
-    /*! @brief Tells whether the coroutine has ended. */
+    /*! @brief Checks if the coroutine has ended. */
     [[nodiscard]] bool isReady() const { return m_value.has_value(); }
 
     /**
-     * @brief Gives the result; only when it is ready.
+     * @brief Returns the result, which must be ready.
      * @return The result.
      * @throws What the coroutine threw.
      */
--- a/src/lycheespool/net/rpc_connection.h
+++ b/src/lycheespool/net/rpc_connection.h
@@ -53,7 +53,7 @@
     }
 
     /**
-     * @brief Makes a call and waits for its reply.
+     * @brief Constructs a call and waits for its reply.
      * @tparam Reply Type of the reply.
      * @tparam Request Type of the request.
      * @param request The request.
@@ -75,13 +75,13 @@
     void close();
 
     /**
-     * @brief Tells whether the connection still takes messages.
+     * @brief Checks if the connection still accepts messages.
      * @return False once it has ended.
      */
     [[nodiscard]] bool isOpen() const { return m_open.load(std::memory_order_acquire); }
 
     /**
-     * @brief Gives the executor of the connection's thread.
+     * @brief Returns the executor of the connection's thread.
      * @return The executor.
      */
     [[nodiscard]] asio::any_io_executor executor() { return m_socket.get_executor(); }
--- a/src/lycheespool/net/rpc_server.h
+++ b/src/lycheespool/net/rpc_server.h
@@ -34,7 +34,7 @@
     RpcServer& operator=(const RpcServer&) = delete;
 
     /**
-     * @brief Gives the bound address.
+     * @brief Returns the bound address.
      * @return Address with the real port.
      */
     [[nodiscard]] Address address() const;
--- a/src/lycheespool/net/signal.h
+++ b/src/lycheespool/net/signal.h
@@ -12,7 +12,7 @@
 class Signal {
 public:
     /**
-     * @brief Makes a signal without waiters.
+     * @brief Constructs a signal without waiters.
      * @param executor Executor of the thread that uses it.
      */
     explicit Signal(const asio::any_io_executor& executor)
--- a/src/lycheespool/net/wake_up.h
+++ b/src/lycheespool/net/wake_up.h
@@ -11,12 +11,12 @@
 /**
  * @brief Lets one coroutine sleep until it is woken or a time has passed; a wake-up before the wait is not lost.
  *
- * To be used on one thread.
+ * Must be used from a single thread.
  */
 class WakeUp {
 public:
     /**
-     * @brief Makes a wake-up that is not pending.
+     * @brief Constructs a wake-up that is not pending.
      * @param executor Executor of the thread that uses it.
      */
     explicit WakeUp(const asio::any_io_executor& executor)
--- a/test/lycheespool/net/http_server.cpp
+++ b/test/lycheespool/net/http_server.cpp
@@ -33,7 +33,7 @@
 
 }
 
-// Guards against a client that holds a connection for ever by sending its request byte by byte, or only a part of it.
+// Guards against a client that holds a connection indefinitely by sending its request byte by byte or in part.
 TEST_CASE("a request that is not complete in time ends its connection")
 {
     Metrics metrics;
