--- a/src/lycheespool/store/circuit_breaker.h
+++ b/src/lycheespool/store/circuit_breaker.h
@@ -20,7 +20,7 @@
     static constexpr Duration probeInterval = std::chrono::seconds { 1 };
 
     /**
-     * @brief Asks whether an operation may be tried.
+     * @brief Checks if an operation may be attempted.
      * @param now Present time.
      * @return False when the operation should fail at once as unavailable.
      */
@@ -48,7 +48,7 @@
     }
 
     /**
-     * @brief Tells whether operations fail fast.
+     * @brief Checks if operations fail fast.
      * @return True while the breaker is open.
      */
     [[nodiscard]] bool isOpen() const { return m_failures.load() >= failuresToOpen; }
--- a/src/lycheespool/store/emulated_table.h
+++ b/src/lycheespool/store/emulated_table.h
@@ -14,7 +14,7 @@
 class EmulatedTable {
 public:
     /**
-     * @brief Makes a view of a table; several views may share one table with faults of their own.
+     * @brief Constructs a view of a table; several views may share one table with faults of their own.
      * @param rows The rows.
      * @param faults The faults.
      */
--- a/src/lycheespool/store/http_table.h
+++ b/src/lycheespool/store/http_table.h
@@ -17,7 +17,7 @@
     static constexpr Duration timeout = std::chrono::seconds { 1 };
 
     /**
-     * @brief Makes a client.
+     * @brief Constructs a client.
      * @param address Address of the table service.
      * @param metrics Registry for the counters.
      */
@@ -48,7 +48,7 @@
     [[nodiscard]] Awaitable<CommitResult> commit(Transaction transaction);
 
     /**
-     * @brief Tells whether the breaker in front of the service is open.
+     * @brief Checks if the circuit breaker of the service is open.
      * @return True while operations fail fast.
      */
     [[nodiscard]] bool isDown() const { return m_breaker.isOpen(); }
--- a/src/lycheespool/store/leader_lease.h
+++ b/src/lycheespool/store/leader_lease.h
@@ -33,7 +33,7 @@
     LeaderLease() = default;
 
     /**
-     * @brief Makes a lease with other times.
+     * @brief Constructs a lease with other times.
      * @param times The times; takeoverDelay must exceed holderTerm by more than the clock drift.
      */
     explicit LeaderLease(const LeaderLeaseTimes& times)
@@ -42,7 +42,7 @@
     }
 
     /**
-     * @brief Gives the times of the lease.
+     * @brief Returns the timing parameters of the lease.
      * @return The times.
      */
     [[nodiscard]] const LeaderLeaseTimes& times() const { return m_times; }
@@ -63,7 +63,7 @@
     void forgetObservation() { m_observed.reset(); }
 
     /**
-     * @brief Tells whether this process may try to take the lease.
+     * @brief Checks if this process may try to acquire the lease.
      * @param now Present time; the row must have been read just before.
      * @return True when there is no row or it stayed unchanged for takeoverDelay.
      */
@@ -73,7 +73,7 @@
     }
 
     /**
-     * @brief Tells how long the row has been seen without a change.
+     * @brief Returns the time for which the row has been seen unchanged.
      * @param now Present time; the row must have been read just before.
      * @return The time, zero when the row was never read.
      */
@@ -99,26 +99,26 @@
     void lost() { m_validUntil.reset(); }
 
     /**
-     * @brief Tells whether this process may act as leader; to be asked before each effect.
+     * @brief Checks if this process may act as leader; must be called before each effect.
      * @param now Present time.
      * @return True within holderTerm of the last successful renewal.
      */
     [[nodiscard]] bool isHeld(TimePoint now) const { return m_validUntil && now < *m_validUntil; }
 
     /**
-     * @brief Tells whether this process wrote the row last, also when its term has run out.
+     * @brief Checks if this process wrote the row last, even if its term has expired.
      * @return True until lost().
      */
     [[nodiscard]] bool wasHeld() const { return m_validUntil.has_value(); }
 
     /**
-     * @brief Gives the version of the row seen last.
+     * @brief Returns the last seen version of the row.
      * @return Version, 0 when the row did not exist.
      */
     [[nodiscard]] std::uint64_t version() const { return m_observed ? m_observed->version : 0; }
 
     /**
-     * @brief Gives the epoch of the last term of this process.
+     * @brief Returns the epoch of the last term of this process.
      * @return The epoch.
      */
     [[nodiscard]] Epoch epoch() const { return m_epoch; }
--- a/src/lycheespool/store/row.h
+++ b/src/lycheespool/store/row.h
@@ -13,7 +13,7 @@
     std::uint64_t version { 0 };
 
     /**
-     * @brief Tells whether the row was there when it was read.
+     * @brief Checks if the row existed when it was read.
      * @return False when the row does not exist.
      */
     [[nodiscard]] bool exists() const { return version != 0; }
--- a/src/lycheespool/store/row_store.h
+++ b/src/lycheespool/store/row_store.h
@@ -50,7 +50,7 @@
 /*! @brief Most conditions and writes of one transaction. */
 inline constexpr std::size_t maxTransactionEntries = 100;
 
-/*! @brief What became of a transaction. */
+/*! @brief Outcome of a transaction. */
 struct RowCommit {
     bool isCommitted { false };
     /*! @brief Version of the written rows when committed. */
@@ -85,12 +85,12 @@
 /**
  * @brief The platform's transactional row store.
  *
- * - `commit(transaction, timeout)` gives a RowCommit.
- * - `list(range, timeout)` gives all rows of a range.
+ * - `commit(transaction, timeout)` returns a RowCommit.
+ * - `list(range, timeout)` returns all rows of a range.
  * - `changes(table, after, wait, timeout)` waits for changes of a table.
  * - `answeredAt()` is the time of the newest answer to any call, or of the start of the process.
  *
- * All throw Error: unavailable or overloaded when nothing was done, outcomeUnknown when the operation may still happen.
+ * All throw Error: unavailable or overloaded if nothing was done, outcomeUnknown if the operation may take effect.
  */
 template <typename Type>
 concept RowStore = requires(
--- a/src/lycheespool/store/table.h
+++ b/src/lycheespool/store/table.h
@@ -12,9 +12,9 @@
 /**
  * @brief The platform's transactional table service, as the system uses it.
  *
- * - `get(key)` gives the row, with version 0 when it does not exist.
- * - `list(prefix)` gives the rows whose key starts with the prefix, in the order of the keys.
- * - `commit(transaction)` gives a CommitResult.
+ * - `get(key)` returns the row, with version 0 when it does not exist.
+ * - `list(prefix)` returns the rows whose key starts with the prefix, in the order of the keys.
+ * - `commit(transaction)` returns a CommitResult.
  *
  * All throw Error: unavailable when the operation certainly did not take effect, outcomeUnknown when it may have.
  */
--- a/src/lycheespool/store/table_faults.h
+++ b/src/lycheespool/store/table_faults.h
@@ -15,7 +15,7 @@
     std::atomic<std::uint32_t> loseAnswers { 0 };
 
     /**
-     * @brief Uses up one lost answer.
+     * @brief Consumes one lost answer.
      * @return True when the answer of this commit is to be lost.
      */
     [[nodiscard]] bool takeLostAnswer()
--- a/src/lycheespool/store/transaction.h
+++ b/src/lycheespool/store/transaction.h
@@ -25,7 +25,7 @@
     std::vector<Write> writes;
 };
 
-/*! @brief What became of a transaction. */
+/*! @brief Outcome of a transaction. */
 struct CommitResult {
     /*! @brief True when the writes took effect. */
     bool committed { false };
