--- a/src/lycheespool/emulator/executor_service.h
+++ b/src/lycheespool/emulator/executor_service.h
@@ -22,7 +22,7 @@
 /**
  * @brief Emulates an executor over HTTP: runs requests in slots and counts executions by key.
  *
- * `POST /v1/execute` echoes the body after the service time; `GET /v1/executions` gives
+ * `POST /v1/execute` echoes the body after the service time; `GET /v1/executions` returns
  * `{"total", "keys", "duplicates"}`; `POST /v1/faults` takes any of `{"failAll", "slowFactor"}`.
  */
 class ExecutorService {
@@ -42,7 +42,7 @@
     [[nodiscard]] Awaitable<bool> drain(Duration timeout) { return m_server.drain(timeout); }
 
     /**
-     * @brief Gives the bound address.
+     * @brief Returns the bound address.
      * @return Address with the real port.
      */
     [[nodiscard]] Address address() const { return m_server.address(); }
--- a/src/lycheespool/emulator/table_service.h
+++ b/src/lycheespool/emulator/table_service.h
@@ -30,7 +30,7 @@
     [[nodiscard]] Awaitable<bool> drain(Duration timeout) { return m_server.drain(timeout); }
 
     /**
-     * @brief Gives the bound address.
+     * @brief Returns the bound address.
      * @return Address with the real port.
      */
     [[nodiscard]] Address address() const { return m_server.address(); }
--- a/src/lycheespool/emulator/task_start.h
+++ b/src/lycheespool/emulator/task_start.h
@@ -6,7 +6,7 @@
 
 namespace lycheespool {
 
-/*! @brief What a worker needs to start a task. */
+/*! @brief Parameters for starting a task on a worker. */
 struct TaskStart {
     TaskKey key;
     Resources size;
--- a/src/lycheespool/emulator/worker_api.h
+++ b/src/lycheespool/emulator/worker_api.h
@@ -16,7 +16,7 @@
 using TaskStatuses = std::vector<TaskStatus>;
 
 /**
- * @brief A worker as its agent uses it; the functions mean what those of WorkerModel mean.
+ * @brief A worker as its agent uses it, with the functions of WorkerModel.
  *
  * All throw Error: unavailable when the worker certainly did not act, outcomeUnknown when it may have acted.
  */
--- a/src/lycheespool/emulator/worker_client.h
+++ b/src/lycheespool/emulator/worker_client.h
@@ -21,7 +21,7 @@
     static constexpr Duration timeout = std::chrono::seconds { 1 };
 
     /**
-     * @brief Makes a client; connects on first use.
+     * @brief Constructs a client; connects on first use.
      * @param address Address of the worker.
      */
     explicit WorkerClient(const Address& address)
--- a/src/lycheespool/emulator/worker_model.h
+++ b/src/lycheespool/emulator/worker_model.h
@@ -25,7 +25,7 @@
     static constexpr Duration usageLag = std::chrono::seconds { 10 };
 
     /**
-     * @brief Makes an idle worker.
+     * @brief Constructs an idle worker.
      * @param capacity Capacity of the worker.
      */
     explicit WorkerModel(const Resources& capacity)
@@ -88,7 +88,7 @@
     void setFaults(const WorkerFaults& faults, TimePoint now);
 
     /**
-     * @brief Gives the faults.
+     * @brief Returns the faults.
      * @return The present faults.
      */
     [[nodiscard]] const WorkerFaults& faults() const { return m_faults; }
--- a/src/lycheespool/emulator/worker_service.h
+++ b/src/lycheespool/emulator/worker_service.h
@@ -32,7 +32,7 @@
     WorkerService& operator=(const WorkerService&) = delete;
 
     /**
-     * @brief Gives the bound address.
+     * @brief Returns the bound address.
      * @return Address with the real port.
      */
     [[nodiscard]] Address address() const;
