Make the limits and switches of the leader's decisions a checked policy file

Cause: each trial of a weight or limit needed a rebuild, and operators could not change any of them. Defaults are the former constants; preemption, reservations, rack waits, avoided nodes, protection of the last attempt, moves, learning and slack order get switches. Ruled out: keys in the platform's settings file, whose format is not ours.

--- a/src/lycheespool/cli/role_gateway.cpp
+++ b/src/lycheespool/cli/role_gateway.cpp
@@ -6,8 +6,10 @@
 #include "lycheespool/cli/incarnation.h"
 #include "lycheespool/cli/process_runner.h"
 #include "lycheespool/cli/roles.h"
+#include "lycheespool/cli/settings_parser.h"
 #include "lycheespool/cluster/operator_watcher.h"
 #include "lycheespool/cluster/settings_reloader.h"
+#include "lycheespool/controller/decision_policy.h"
 #include "lycheespool/controller/leader_host.h"
 #include "lycheespool/controller/rpc_holder_probe.h"
 #include "lycheespool/core/event_log.h"
@@ -32,7 +34,8 @@
 /*! @brief All parts of a gateway process. */
 class GatewayProcess {
 public:
-    GatewayProcess(IoPool& pool, const NodeSettings& settings, Metrics& metrics)
+    GatewayProcess(
+        IoPool& pool, const NodeSettings& settings, const ControllerSettings& controllerSettings, Metrics& metrics)
         : m_settings { settings }
         , m_store { settings.store, metrics }
         , m_watcher { m_store, platform::operatorSource(), [this] { m_leader->onOperatorChange(); } }
@@ -42,8 +45,7 @@
         , m_probe { metrics }
         , m_incarnation { generateIncarnation().value() }
         , m_leader { std::make_shared<Leader>(pool.context().get_executor(), m_store, m_probe, m_watcher, RowNames {},
-              LeaseRow { settings.node, m_incarnation, settings.internal.toString(), 0 },
-              ControllerSettings::from(settings), metrics) }
+              LeaseRow { settings.node, m_incarnation, settings.internal.toString(), 0 }, controllerSettings, metrics) }
         , m_messages { pool, settings.internal, metrics,
             [this](const auto& source, Envelope envelope) { onMessage(source, std::move(envelope)); },
             [](const auto&) {} }
@@ -79,6 +81,9 @@
     /*! @brief Replaces the addresses that calls are relayed to. */
     void setSeeds(const std::vector<Address>& seeds) { m_relay.setPeers(seeds); }
 
+    /*! @brief Replaces the policy of the leader's decisions. */
+    void setPolicy(const DecisionPolicy& policy) { m_leader->setPolicy(policy); }
+
     [[nodiscard]] Awaitable<bool> drain()
     {
         m_isDraining = true;
@@ -150,27 +155,57 @@
     bool m_isDraining { false };
 };
 
+/*! @brief Reads the policy file again; an invalid file leaves the previous policy in effect. */
+void reloadPolicy(const std::string& policyFile, GatewayProcess& process)
+{
+    if (policyFile.empty())
+        return;
+    try {
+        process.setPolicy(readDecisionPolicy(policyFile));
+        logEvent("policy_reloaded", { { "file", policyFile } });
+    } catch (const Error& error) {
+        logEvent("policy_reload_failed", { { "reason", error.what() }, { "remedy", error.remedy() } });
+    }
+}
+
 }
 
-ExitCode runGateway(const Args&)
+ExitCode runGateway(const Args& args)
 {
     StopSignals signals;
+    SettingsParser parser { "gateway",
+        "Serves clients on the users' platform; one gateway leads. Addresses come from the settings file of the "
+        "platform, decisions from the policy file. Keys of the policy file:\n"
+            + describeDecisionPolicy() };
+    parser.addText("policy", "TOML file with the policy of the leader's decisions, read again at SIGHUP", "");
+    parser.parse(args);
+    const auto policyFile = parser.text("policy");
     const auto settings = platform::readSettings();
+    auto controllerSettings = ControllerSettings::from(settings);
+    if (!policyFile.empty())
+        controllerSettings.policy = readDecisionPolicy(policyFile);
     startEventLog(settings.node);
-    logEvent("started", { { "role", "gateway" }, { "zone", settings.zone }, { "store", settings.store.toString() } });
+    logEvent("started",
+        { { "role", "gateway" }, { "zone", settings.zone }, { "store", settings.store.toString() },
+            { "policy", policyFile } });
     Metrics metrics;
     addProcessGauges(metrics);
     ExitCode code = ExitCode::success;
     {
         // One thread: the VM has a fraction of a core, and the state needs no locks.
         IoPool pool { 1 };
-        GatewayProcess process { pool, settings, metrics };
+        GatewayProcess process { pool, settings, controllerSettings, metrics };
         SettingsReloader reload { settings, platform::readSettings,
             [&process](const std::vector<Address>& seeds) { process.setSeeds(seeds); } };
         asio::co_spawn(pool.context(), reload.run(), asio::detached);
         code = runUntilSignal(
             signals, pool, [&] { return process.drain(); },
-            [&] { asio::post(pool.context(), [&reload] { reload.check(true); }); });
+            [&] {
+                asio::post(pool.context(), [&] {
+                    reload.check(true);
+                    reloadPolicy(policyFile, process);
+                });
+            });
     }
     logEvent("stopped", { { "role", "gateway" }, { "code", static_cast<int>(code) } });
     stopEventLog();
--- a/src/lycheespool/controller/controller.h
+++ b/src/lycheespool/controller/controller.h
@@ -81,6 +81,12 @@
      */
     void setConfig(std::shared_ptr<const OperatorConfig> config) { m_config = std::move(config); }
 
+    /**
+     * @brief Replaces the decision policy; later decisions use the new one.
+     * @param policy The policy.
+     */
+    void setPolicy(const DecisionPolicy& policy) { m_settings.policy = policy; }
+
     /**
      * @brief Replaces the set of zones that are out of service.
      * @param zones The zones.
@@ -217,6 +223,7 @@
     void processRunningTasks(ExecutorView& node, const NodeReport& report, const ClockReading& now);
     void releaseUnlistedRuns(ExecutorView& node, const NodeReport& report);
     void recordDuration(ManagedWorkload& job, const RunKey& key, const LiveRun& run, const ClockReading& now);
+    [[nodiscard]] DurationForecast forecastOf(const ManagedWorkload& job, const StepSpec& step) const;
     [[nodiscard]] Duration runTimeUpperBound(const ManagedWorkload& job, const StepSpec& step) const;
     [[nodiscard]] std::optional<TimePoint> gangStartTime(const ManagedWorkload& job, const RunKey& key) const;
     void stopStalled(const RunKey& key, LiveRun& run, const ClockReading& now);
--- a/src/lycheespool/controller/controller_planning.cpp
+++ b/src/lycheespool/controller/controller_planning.cpp
@@ -26,8 +26,6 @@
 // Longest time that a guaranteed gang waits for a single rack before its first start; that start must happen within the
 // reclaim bound of about 2.7 s.
 constexpr std::int64_t guaranteedRackWaitMs = 1000;
-// Cost factor for evicting work of priority 0, whose interruption costs its caller more.
-constexpr double urgentEvictionFactor = 20;
 
 double coreEquivalent(const ResourceVector& amount)
 {
@@ -120,7 +118,7 @@
     const auto& steps = job.row.request.steps;
     std::vector<double> times(steps.size(), 0);
     for (std::size_t i = times.size(); i-- > 0;) {
-        times[i] += m_durations.forecast(job.row.queue, steps[i].estimatedMs).expectedMs;
+        times[i] += forecastOf(job, steps[i]).expectedMs;
         for (const auto before : steps[i].after)
             times[before] = std::max(times[before], times[i]);
     }
@@ -136,7 +134,7 @@
     const auto remaining = static_cast<std::int64_t>(criticalPaths[step]);
     const auto objective = static_cast<std::int64_t>(policy.slowdownFactor * *std::ranges::max_element(criticalPaths))
         + policy.targetLatencyMs;
-    const auto forecast = m_durations.forecast(job.row.queue, spec.estimatedMs);
+    const auto forecast = forecastOf(job, spec);
     const auto uncertainty = std::exp(forecast.spread);
 
     StartRequest request;
@@ -147,13 +145,15 @@
     request.dataRack = spec.dataRack;
     request.maxPerNode = spec.maxPerExecutor;
     request.mayEvict = isGuaranteed;
-    request.speedWeight = policy.priority == 0 ? m_settings.urgentSpeedWeight : m_settings.normalSpeedWeight;
+    request.speedWeight
+        = policy.priority == 0 ? m_settings.policy.urgentSpeedWeight : m_settings.policy.normalSpeedWeight;
     // Waiting for the preferred rack pays off until the wait exceeds half of the extra run time elsewhere. Time that
     // the job spent on earlier steps or on a lost run does not count as waiting.
     const auto remoteCost = (m_settings.bounds.remoteFactor - 1) * forecast.expectedMs;
     request.hasStartBound = isGuaranteed && job.progress.state == WorkloadState::pending;
-    request.acceptsRemote
-        = static_cast<double>(readyMs) > remoteCost / 2 || (request.hasStartBound && ageMs > guaranteedRackWaitMs);
+    request.acceptsRemote = !m_settings.policy.waitsForRack
+        || static_cast<double>(readyMs) > remoteCost * m_settings.policy.rackWaitShare
+        || (request.hasStartBound && ageMs > guaranteedRackWaitMs);
 
     // No task of a gang runs while the gang waits, so its task counts per executor start at zero.
     for (std::uint32_t i = 0; i < spec.tasks && !spec.isGang && spec.maxPerExecutor > 0; ++i) {
@@ -161,25 +161,29 @@
             ++request.tasksOn[it.node];
     }
     const auto ownWork = coreEquivalent(request.perTask) * spec.tasks * static_cast<double>(remaining) / 1000.0;
-    const auto preemption
-        = preemptionFor({ policy.priority, ageMs, objective, remaining, uncertainty, ownWork }, m_settings.preemption);
+    const auto preemption = preemptionFor(
+        { policy.priority, ageMs, objective, remaining, uncertainty, ownWork }, m_settings.policy.preemption);
     if (!isGuaranteed && preemption.mayEvict) {
         request.mayEvict = true;
         request.evictsAboveTier = policy.priority + 1;
         request.evictionBudget = preemption.budget;
     }
     const RankInput input { policy.priority, isGuaranteed, ageMs, objective, remaining, uncertainty };
-    if (job.failedNodes.size() <= std::max(maxAvoidedNodes, m_nodes.size() / avoidedNodesOneIn))
+    const auto rank = m_settings.policy.ordersBySlack ? rankOf(input) : rankByAge(input);
+    if (m_settings.policy.avoidsFailedNodes
+        && job.failedNodes.size() <= std::max(maxAvoidedNodes, m_nodes.size() / avoidedNodesOneIn))
         request.avoidedNodes = job.failedNodes;
     const auto add = [&](std::vector<std::uint32_t> indices, bool prefersReliable) {
         if (indices.empty())
             return;
         request.tasks = static_cast<std::uint32_t>(indices.size());
         request.prefersReliable = prefersReliable;
-        steps.push_back({ rankOf(input), input, readyMs, &job, occurrence, step, std::move(indices), request });
+        steps.push_back({ rank, input, readyMs, &job, occurrence, step, std::move(indices), request });
     };
     const auto& waiting = job.round(occurrence, step).waiting;
-    const auto isLast = [&](std::uint32_t failures) { return failures + 1 >= policy.maxAttempts; };
+    const auto isLast = [&](std::uint32_t failures) {
+        return m_settings.policy.protectsLastAttempt && failures + 1 >= policy.maxAttempts;
+    };
     if (spec.isGang)
         request.isLastAttempt = isLast(job.round(occurrence, step).gangFailures);
     // A limit per executor applies to all tasks of the step, so they stay in one request.
@@ -205,7 +209,8 @@
     const auto seconds = std::chrono::duration<double> { now - saved }.count();
     const auto it = m_jobs.find(key.task.job);
     const bool urgent = it != m_jobs.end() && policyOf(it->second).priority == 0;
-    return std::max(0.0, seconds) * coreEquivalent(run.charged) * (urgent ? urgentEvictionFactor : 1.0);
+    return std::max(0.0, seconds) * coreEquivalent(run.charged)
+        * (urgent ? m_settings.policy.urgentEvictionFactor : 1.0);
 }
 
 std::optional<std::int64_t> Controller::plan(const ClockReading& now)
@@ -286,7 +291,7 @@
         }
         std::vector<std::string> names;
         std::ranges::transform(nodes, std::back_inserter(names), &NodeCapacity::node);
-        const auto plan = StartPlanner { std::move(nodes) }.plan(requests);
+        const auto plan = StartPlanner { std::move(nodes), m_settings.policy.placement }.plan(requests);
         for (const auto& it : plan.starts) {
             std::vector<std::string> places;
             std::ranges::transform(
--- a/src/lycheespool/controller/controller_settings.h
+++ b/src/lycheespool/controller/controller_settings.h
@@ -1,15 +1,15 @@
 #pragma once
 
 #include "lycheespool/cluster/node_settings.h"
+#include "lycheespool/controller/decision_policy.h"
 #include "lycheespool/core/clock.h"
-#include "lycheespool/dispatch/preemption.h"
 
 #include <algorithm>
 #include <chrono>
 
 namespace lycheespool {
 
-/*! @brief Time constants of the leader. */
+/*! @brief Time constants and decision policy of the leader. */
 struct ControllerSettings {
     /*! @brief Validity of a permit to extend an executor's lease; tasks of an unreachable executor restart only after
      * it. */
@@ -21,18 +21,9 @@
     Duration predecessorTerm { std::chrono::milliseconds { 1700 } };
     /*! @brief Time after which an order without an outcome is sent again. */
     Duration orderRetry { std::chrono::milliseconds { 1500 } };
-    /*! @brief Minimum time without progress after which a task counts as stalled: two list intervals of 0.9 s. */
-    Duration minStallTime { std::chrono::milliseconds { 1800 } };
-    /*! @brief Time for which an executor is suspected after its tasks failed or stalled. */
-    Duration suspicionDuration { std::chrono::seconds { 10 } };
     /*! @brief Maximum age of the last contact with an agent for a start on its node. */
     Duration maxContactAge { std::chrono::milliseconds { 2200 } };
-    PreemptionLimits preemption;
-    /*! @brief Weight of node speed against tight packing for urgent work; see StartRequest::speedWeight. */
-    double urgentSpeedWeight { 3 };
-    /*! @brief Speed weight of other work; negative, so that it leaves fast executors to urgent work when it packs as
-     * well elsewhere. */
-    double normalSpeedWeight { -0.5 };
+    DecisionPolicy policy;
     /*! @brief Delay before this candidate takes a free leader lease. */
     Duration candidacyDelay {};
     ClusterBounds bounds;
--- a/src/lycheespool/controller/controller_trust.cpp
+++ b/src/lycheespool/controller/controller_trust.cpp
@@ -23,13 +23,19 @@
 // Number of nodes on which a job must fail before the job is suspected instead of the nodes.
 constexpr std::size_t failedNodesToSuspectJob = 2;
 
+Duration millisecondsOf(double ms)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli> { ms });
+}
+
 }
 
 NodeReliability Controller::trustOf(const ExecutorView& node, TimePoint now) const
 {
     if (now < node.suspectedUntil)
         return NodeReliability::suspected;
-    const bool isDoubtful = node.failuresInARow > 0 && now - node.failedAt < m_settings.suspicionDuration;
+    const bool isDoubtful
+        = node.failuresInARow > 0 && now - node.failedAt < millisecondsOf(m_settings.policy.suspicionMs);
     return isDoubtful ? NodeReliability::failedOnce : NodeReliability::reliable;
 }
 
@@ -82,7 +88,7 @@
     }
     if (node.failuresInARow < failuresToSuspect)
         return;
-    node.suspectedUntil = now.steady + m_settings.suspicionDuration;
+    node.suspectedUntil = now.steady + millisecondsOf(m_settings.policy.suspicionMs);
     logEvent("executor_suspected",
         { { "node", node.node }, { "executor", node.lifetime.executor }, { "job", job.id },
             { "failed_jobs", node.failedJobs.size() } });
@@ -106,12 +112,19 @@
     m_durations.addRun(job.row.queue, step.estimatedMs, took.count());
 }
 
+DurationForecast Controller::forecastOf(const ManagedWorkload& job, const StepSpec& step) const
+{
+    static const DurationModel withoutRuns;
+    const auto& model = m_settings.policy.learnsRunTimes ? m_durations : withoutRuns;
+    return model.forecast(job.row.queue, step.estimatedMs);
+}
+
 /*! @brief Returns a run time that few tasks of a step exceed. */
 Duration Controller::runTimeUpperBound(const ManagedWorkload& job, const StepSpec& step) const
 {
     // About one task in forty takes longer.
     constexpr double deviations = 2;
-    const auto forecast = m_durations.forecast(job.row.queue, step.estimatedMs);
+    const auto forecast = forecastOf(job, step);
     return std::chrono::duration_cast<Duration>(
         std::chrono::duration<double, std::milli> { forecast.upperMs(deviations) });
 }
@@ -146,7 +159,7 @@
     // that few tasks exceed.
     const auto& step = job->row.request.steps[key.task.position.step];
     const Duration perPercent = run.percent > 0 ? elapsed / run.percent : runTimeUpperBound(*job, step) / 100;
-    const auto limit = std::max<Duration>(m_settings.minStallTime, perPercent * 5);
+    const auto limit = std::max<Duration>(millisecondsOf(m_settings.policy.minStallMs), perPercent * 5);
     if (run.percentListedMs == 0 || sinceChange < limit)
         return;
     // A gang works only once its last member has started.
@@ -154,7 +167,7 @@
     if (!workingSince || now.steady - *workingSince < limit)
         return;
     m_runsStalled.add();
-    node->second.suspectedUntil = now.steady + m_settings.suspicionDuration;
+    node->second.suspectedUntil = now.steady + millisecondsOf(m_settings.policy.suspicionMs);
     job->failedNodes.insert(run.node);
     logEvent("run_stalled",
         { { "task", key.task.toString() }, { "run", key.run }, { "node", run.node }, { "percent", run.percent } });
@@ -169,7 +182,7 @@
     const ManagedWorkload& job, const RunKey& key, const LiveRun& run, TimePoint now) const
 {
     const auto& step = job.row.request.steps[key.task.position.step];
-    const auto whole = m_durations.forecast(job.row.queue, step.estimatedMs);
+    const auto whole = forecastOf(job, step);
     const auto workingSince = step.isGang ? gangStartTime(job, key) : std::optional { run.confirmedAt };
     if (!workingSince)
         return whole;
@@ -190,8 +203,9 @@
 void Controller::moveFromDepartingNode(const RunKey& key, LiveRun& run, const ClockReading& now)
 {
     const auto node = m_nodes.find(run.node);
-    if (run.phase != RunPhase::confirmed || run.isStopping() || node == m_nodes.end() || !node->second.earliestDeparture
-        || now.steady >= *node->second.earliestDeparture || node->second.lifetime != run.lifetime)
+    if (!m_settings.policy.movesFromDepartingNodes || run.phase != RunPhase::confirmed || run.isStopping()
+        || node == m_nodes.end() || !node->second.earliestDeparture || now.steady >= *node->second.earliestDeparture
+        || node->second.lifetime != run.lifetime)
         return;
     auto* const job = findJob(key.task.job);
     // A service task runs until its executor departs.
--- a/src/lycheespool/controller/leader_host.h
+++ b/src/lycheespool/controller/leader_host.h
@@ -86,6 +86,18 @@
         spawn(&LeaderHost::workLoop);
     }
 
+    /**
+     * @brief Replaces the decision policy of this term and of later ones.
+     * @param policy The policy.
+     */
+    void setPolicy(const DecisionPolicy& policy)
+    {
+        m_settings.policy = policy;
+        if (m_controller)
+            m_controller->setPolicy(policy);
+        m_wakeUp.wake();
+    }
+
     /*! @brief Notifies the host that the operators' state changed. */
     void onOperatorChange() { m_wakeUp.wake(); }
 
--- a/src/lycheespool/dispatch/fwd.h
+++ b/src/lycheespool/dispatch/fwd.h
@@ -11,6 +11,7 @@
 struct DepartingRun;
 struct NodeCapacity;
 struct NodeRun;
+struct PlacementLimits;
 struct PreemptionInput;
 struct PreemptionLimits;
 struct PreemptionRule;
--- a/src/lycheespool/dispatch/preemption.cpp
+++ b/src/lycheespool/dispatch/preemption.cpp
@@ -4,7 +4,7 @@
 
 PreemptionRule preemptionFor(const PreemptionInput& input, const PreemptionLimits& limits)
 {
-    if (input.priority != 0)
+    if (!limits.isEnabled || input.priority != 0)
         return {};
     const auto factor = limits.accountsForUncertainty ? input.uncertainty : 1.0;
     const auto slackMs = static_cast<double>(input.objectiveMs - input.remainingMs);
--- a/src/lycheespool/dispatch/preemption.h
+++ b/src/lycheespool/dispatch/preemption.h
@@ -22,6 +22,8 @@
 
 /*! @brief Limits of preemption beyond guarantees. */
 struct PreemptionLimits {
+    /*! @brief Without it, only work within its workspace's guarantee evicts other work. */
+    bool isEnabled { true };
     /*! @brief Work with more slack than this waits, ms. A stop takes up to 400 ms, orders and storing the placement
      * take about 100 ms, and recording and showing the end takes as much again. */
     double slackMs { 1000 };
--- a/src/lycheespool/dispatch/queue_rank.h
+++ b/src/lycheespool/dispatch/queue_rank.h
@@ -60,4 +60,17 @@
     return rank;
 }
 
+/**
+ * @brief Ranks a waiting step by its age alone within its priority, oldest first.
+ * @param input What the rank depends on.
+ * @return The rank.
+ */
+[[nodiscard]] inline QueueRank rankByAge(const RankInput& input)
+{
+    QueueRank rank;
+    rank.tier = input.isGuaranteed ? 0 : input.priority + 1;
+    rank.slackMs = -input.ageMs;
+    return rank;
+}
+
 }
--- a/src/lycheespool/dispatch/start_planner.cpp
+++ b/src/lycheespool/dispatch/start_planner.cpp
@@ -222,7 +222,7 @@
 /*! @brief Reserves the executors that a request waits for, so that later requests cannot use them. */
 void StartPlanner::reserve(const StartRequest& request)
 {
-    if (m_reservations >= maxReservations)
+    if (m_reservations >= m_limits.maxReservations)
         return;
     // Only gangs and tasks that need most of an executor are starved by small tasks.
     const auto needsMost = [&](const NodeCapacity& it) { return request.perTask.copiesIn(it.capacity) <= 2; };
--- a/src/lycheespool/dispatch/start_planner.h
+++ b/src/lycheespool/dispatch/start_planner.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "lycheespool/dispatch/node_capacity.h"
+#include "lycheespool/dispatch/placement_limits.h"
 #include "lycheespool/dispatch/start_request.h"
 
 #include <optional>
@@ -24,15 +25,14 @@
  */
 class StartPlanner {
 public:
-    /*! @brief Maximum number of waiting requests that hold a reservation; more would leave too much capacity idle. */
-    static constexpr std::size_t maxReservations = 4;
-
     /**
      * @brief Constructs a planner.
      * @param nodes Executors; their free capacity shrinks as requests are placed.
+     * @param limits Limits of the placement.
      */
-    explicit StartPlanner(std::vector<NodeCapacity> nodes)
-        : m_nodes { std::move(nodes) }
+    explicit StartPlanner(std::vector<NodeCapacity> nodes, const PlacementLimits& limits = {})
+        : m_limits { limits }
+        , m_nodes { std::move(nodes) }
         , m_reserved(m_nodes.size(), false)
     {
     }
@@ -89,6 +89,7 @@
         const StartRequest& request, const std::string& rack) const;
     void evict(std::span<const std::size_t> handles, StartPlan& plan);
 
+    PlacementLimits m_limits;
     std::vector<NodeCapacity> m_nodes;
     std::vector<bool> m_reserved;
     std::size_t m_reservations { 0 };
--- a/test/lycheespool/controller/cluster_simulation.h
+++ b/test/lycheespool/controller/cluster_simulation.h
@@ -73,7 +73,7 @@
         : m_random { seed }
         , m_faults { faults }
     {
-        m_settings.preemption = preemption;
+        m_settings.policy.preemption = preemption;
         for (std::size_t i = 0; i < size.nodes; ++i) {
             Executor executor;
             executor.node = "node-" + std::to_string(i);
--- a/test/lycheespool/dispatch/node_speeds.cpp
+++ b/test/lycheespool/dispatch/node_speeds.cpp
@@ -113,7 +113,7 @@
         }
         speeds.addStep(runs);
     }
-    // The weight of ControllerSettings::urgentSpeedWeight.
+    // The weight of DecisionPolicy::urgentSpeedWeight.
     const auto preferring = gangsInTime(speeds, 3);
     const auto ignoring = gangsInTime(speeds, 0);
     MESSAGE("urgent gangs in time: speeds preferred " << preferring << ", ignored " << ignoring);
