--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -11,6 +11,7 @@
 cmake --preset release
 cmake --build --preset release
 ctest --preset release
+python3 -m unittest discover -s test/scripts
 cmake --preset asan
 cmake --build --preset asan
 # One seed per fault case: the sanitizers slow the simulation down by a factor of ten.
