--- a/test/lycheespool/controller/decision_policy.cpp
+++ b/test/lycheespool/controller/decision_policy.cpp
@@ -13,7 +13,8 @@
     try {
         (void)parseDecisionPolicy(text, "policy.toml");
     } catch (const Error& error) {
-        CHECK(error.kind() == ErrorKind::invalidSetting);
+        const bool isInvalidSetting = error.kind() == ErrorKind::invalidSetting;
+        CHECK(isInvalidSetting);
         return error.what();
     }
     return {};
