--- a/test/lycheespool/controller/cluster_simulation.h
+++ b/test/lycheespool/controller/cluster_simulation.h
@@ -68,12 +68,12 @@
     {
     }
 
-    ClusterSimulation(std::uint64_t seed, const SimulationSize& size, const SimulationFaults& faults,
-        const PreemptionLimits& preemption)
+    ClusterSimulation(
+        std::uint64_t seed, const SimulationSize& size, const SimulationFaults& faults, const DecisionPolicy& policy)
         : m_random { seed }
         , m_faults { faults }
     {
-        m_settings.policy.preemption = preemption;
+        m_settings.policy = policy;
         for (std::size_t i = 0; i < size.nodes; ++i) {
             Executor executor;
             executor.node = "node-" + std::to_string(i);
--- a/test/lycheespool/controller/large_load.cpp
+++ b/test/lycheespool/controller/large_load.cpp
@@ -85,7 +85,9 @@
 LoadResult simulate(std::uint64_t seed, const PreemptionLimits& preemption)
 {
     std::mt19937_64 random { seed };
-    ClusterSimulation simulation { seed, largeCluster(), {}, preemption };
+    DecisionPolicy policy;
+    policy.preemption = preemption;
+    ClusterSimulation simulation { seed, largeCluster(), {}, policy };
     int next = 0;
     const auto submit = [&](const LoadClass& load) {
         const auto workMs = draw(random, load.workMs, load.workSpread);
