Split Controller::plan by concern and use one constant for the lease term

plan() built the evictable runs, the planner's nodes and the plan of each service in 105 lines; each is a function now. The term of the leader lease stood in two places. Behaviour is unchanged.

--- a/src/lycheespool/controller/controller.h
+++ b/src/lycheespool/controller/controller.h
@@ -202,6 +202,14 @@
         StartRequest request;
     };
 
+    /*! @brief Runs that may be evicted. */
+    struct EvictableRuns {
+        /*! @brief Runs by handle. */
+        std::vector<RunKey> keys;
+        /*! @brief Runs by the executor lifetime that they run on. */
+        std::map<Lifetime, std::vector<EvictableRun>> byLifetime;
+    };
+
     // Jobs.
     void restoreTasks(ManagedWorkload& job, TimePoint now);
     void markChanged(ManagedWorkload& job) { ++job.revision; }
@@ -239,6 +247,11 @@
     [[nodiscard]] bool acceptsWork(const ExecutorView& node, TimePoint now) const;
     [[nodiscard]] std::vector<double> criticalPathsMs(const ManagedWorkload& job) const;
     [[nodiscard]] NodeReliability trustOf(const ExecutorView& node, TimePoint now) const;
+    [[nodiscard]] EvictableRuns evictableRuns(TimePoint now) const;
+    [[nodiscard]] std::map<std::string, std::vector<NodeCapacity>> plannerNodes(
+        const EvictableRuns& evictable, TimePoint now) const;
+    void planService(const std::string& service, std::vector<NodeCapacity> nodes, const EvictableRuns& evictable,
+        std::vector<WaitingStep>& waiting, const ClockReading& now);
     void startRuns(WaitingStep& waiting, const std::vector<std::string>& nodes, const ClockReading& now);
     [[nodiscard]] double evictionCost(const RunKey& key, const LiveRun& run, TimePoint now) const;
     [[nodiscard]] RunOrder orderFor(const RunKey& key, const LiveRun& run);
--- a/src/lycheespool/controller/controller_planning.cpp
+++ b/src/lycheespool/controller/controller_planning.cpp
@@ -219,38 +219,56 @@
     auto waiting = waitingSteps(now, nextDue);
     if (waiting.empty())
         return nextDue;
-    const auto guaranteed = guaranteedJobs();
+    const auto evictable = evictableRuns(now.steady);
+    for (auto& [service, nodes] : plannerNodes(evictable, now.steady))
+        planService(service, std::move(nodes), evictable, waiting, now);
+    return nextDue;
+}
 
-    std::map<Lifetime, std::pair<ResourceVector, ResourceVector>> used;
-    std::vector<RunKey> handles;
-    std::map<Lifetime, std::vector<EvictableRun>> evictable;
+/*! @brief Collects the runs that other work may evict; the members of a gang share a group and its whole cost. */
+Controller::EvictableRuns Controller::evictableRuns(TimePoint now) const
+{
+    EvictableRuns runs;
+    const auto guaranteed = guaranteedJobs();
     std::map<std::tuple<std::string, std::uint32_t, std::uint32_t, std::uint64_t>, std::size_t> groups;
     std::map<std::size_t, double> groupCost;
     for (const auto& [key, run] : m_runs) {
-        auto& [busy, returning] = used[run.lifetime];
-        busy += run.charged;
-        if (run.isStopping()) {
-            returning += run.charged;
-            continue;
-        }
-        const auto* const job = findJob(key.task.job);
-        const auto& step = job->row.request.steps[key.task.position.step];
-        if (guaranteed.contains(key.task.job) || step.isService)
+        const auto& job = m_jobs.at(key.task.job);
+        const auto& step = job.row.request.steps[key.task.position.step];
+        if (run.isStopping() || guaranteed.contains(key.task.job) || step.isService)
             continue;
-        EvictableRun it { handles.size(), 0, policyOf(*job).priority + 1, run.charged,
-            evictionCost(key, run, now.steady) };
+        EvictableRun it { runs.keys.size(), 0, policyOf(job).priority + 1, run.charged, evictionCost(key, run, now) };
         if (step.isGang) {
             const std::tuple group { key.task.job, key.task.position.occurrence, key.task.position.step, key.run };
             it.group = groups.try_emplace(group, groups.size() + 1).first->second;
             groupCost[it.group] += it.unsavedCoreSeconds;
         }
-        handles.push_back(key);
-        evictable[run.lifetime].push_back(it);
+        runs.keys.push_back(key);
+        runs.byLifetime[run.lifetime].push_back(it);
     }
+    for (auto& [lifetime, entries] : runs.byLifetime) {
+        for (auto& it : entries) {
+            if (it.group != 0)
+                it.unsavedCoreSeconds = groupCost[it.group];
+        }
+    }
+    return runs;
+}
 
+/*! @brief Describes the nodes that accept work to the planner, by service. */
+std::map<std::string, std::vector<NodeCapacity>> Controller::plannerNodes(
+    const EvictableRuns& evictable, TimePoint now) const
+{
+    std::map<Lifetime, ResourceVector> busy;
+    std::map<Lifetime, ResourceVector> releasing;
+    for (const auto& [key, run] : m_runs) {
+        busy[run.lifetime] += run.charged;
+        if (run.isStopping())
+            releasing[run.lifetime] += run.charged;
+    }
     std::map<std::string, std::vector<NodeCapacity>> nodesByService;
     for (const auto& [name, node] : m_nodes) {
-        if (!acceptsWork(node, now.steady))
+        if (!acceptsWork(node, now))
             continue;
         NodeCapacity candidate;
         candidate.node = name;
@@ -258,22 +276,17 @@
         candidate.labels = node.labels;
         candidate.capacity = node.capacity;
         candidate.free = node.capacity;
-        candidate.reliability = trustOf(node, now.steady);
+        candidate.free -= busy[node.lifetime];
+        candidate.releasing = releasing[node.lifetime];
+        candidate.reliability = trustOf(node, now);
         candidate.slowness = m_speeds.slownessOf(name);
-        const auto [busy, returning] = used[node.lifetime];
-        candidate.isBusy = busy != ResourceVector {};
-        candidate.free -= busy;
-        candidate.releasing = returning;
+        candidate.isBusy = busy[node.lifetime] != ResourceVector {};
         for (const auto& [key, unknownRun] : node.unknownRuns)
             candidate.free -= unknownRun.charged;
-        candidate.evictable = evictable[node.lifetime];
-        for (auto& it : candidate.evictable) {
-            if (it.group != 0)
-                it.unsavedCoreSeconds = groupCost[it.group];
-        }
+        if (const auto it = evictable.byLifetime.find(node.lifetime); it != evictable.byLifetime.end())
+            candidate.evictable = it->second;
         nodesByService[node.service].push_back(std::move(candidate));
     }
-
     for (auto& [service, nodes] : nodesByService) {
         // When more than half of the nodes are suspected, the cause is not the executors, and too few nodes would be
         // left to start on.
@@ -281,29 +294,35 @@
         if (std::cmp_greater(2 * suspects, nodes.size()))
             std::ranges::for_each(
                 nodes, [](auto& it) { it.reliability = std::min(it.reliability, NodeReliability::failedOnce); });
-        std::vector<std::size_t> positions;
-        std::vector<StartRequest> requests;
-        for (std::size_t i = 0; i < waiting.size(); ++i) {
-            if (policyOf(*waiting[i].job).service != service)
-                continue;
-            positions.push_back(i);
-            requests.push_back(waiting[i].request);
-        }
-        std::vector<std::string> names;
-        std::ranges::transform(nodes, std::back_inserter(names), &NodeCapacity::node);
-        const auto plan = StartPlanner { std::move(nodes), m_settings.policy.placement }.plan(requests);
-        for (const auto& it : plan.starts) {
-            std::vector<std::string> places;
-            std::ranges::transform(
-                it.nodes, std::back_inserter(places), [&](std::size_t position) { return names[position]; });
-            startRuns(waiting[positions[it.request]], places, now);
-        }
-        for (const auto handle : plan.evictions) {
-            m_runsEvicted.add();
-            stopRun(handles[handle], "preempted by work of higher rank");
-        }
     }
-    return nextDue;
+    return nodesByService;
+}
+
+/*! @brief Plans the waiting steps of one service and carries the plan out. */
+void Controller::planService(const std::string& service, std::vector<NodeCapacity> nodes,
+    const EvictableRuns& evictable, std::vector<WaitingStep>& waiting, const ClockReading& now)
+{
+    std::vector<std::size_t> positions;
+    std::vector<StartRequest> requests;
+    for (std::size_t i = 0; i < waiting.size(); ++i) {
+        if (policyOf(*waiting[i].job).service != service)
+            continue;
+        positions.push_back(i);
+        requests.push_back(waiting[i].request);
+    }
+    std::vector<std::string> names;
+    std::ranges::transform(nodes, std::back_inserter(names), &NodeCapacity::node);
+    const auto plan = StartPlanner { std::move(nodes), m_settings.policy.placement }.plan(requests);
+    for (const auto& it : plan.starts) {
+        std::vector<std::string> places;
+        std::ranges::transform(
+            it.nodes, std::back_inserter(places), [&](std::size_t position) { return names[position]; });
+        startRuns(waiting[positions[it.request]], places, now);
+    }
+    for (const auto handle : plan.evictions) {
+        m_runsEvicted.add();
+        stopRun(evictable.keys[handle], "preempted by work of higher rank");
+    }
 }
 
 void Controller::startRuns(WaitingStep& waiting, const std::vector<std::string>& nodes, const ClockReading& now)
--- a/src/lycheespool/controller/controller_settings.h
+++ b/src/lycheespool/controller/controller_settings.h
@@ -2,6 +2,7 @@
 
 #include "lycheespool/cluster/node_settings.h"
 #include "lycheespool/controller/decision_policy.h"
+#include "lycheespool/controller/lease_row.h"
 #include "lycheespool/core/clock.h"
 
 #include <algorithm>
@@ -16,9 +17,6 @@
     Duration permitDuration { std::chrono::seconds { 7 } };
     /*! @brief Time for which a leader that cannot reach the store still grants permits after its lease expired. */
     Duration passiveGrace { std::chrono::seconds { 6 } };
-    /*! @brief Longest time for which a previous leader may act after its successor took over: the holder's term of the
-     * lease, Leadership::times.holderTerm. */
-    Duration predecessorTerm { std::chrono::milliseconds { 1700 } };
     /*! @brief Time after which an order without an outcome is sent again. */
     Duration orderRetry { std::chrono::milliseconds { 1500 } };
     /*! @brief Maximum age of the last contact with an agent for a start on its node. */
@@ -69,7 +67,7 @@
      */
     [[nodiscard]] Duration previousPermitsExpiryBound() const
     {
-        return predecessorTerm + passiveGrace + permitExpiryBound();
+        return leaderLeaseTerm + passiveGrace + permitExpiryBound();
     }
 };
 
--- a/src/lycheespool/controller/leadership.h
+++ b/src/lycheespool/controller/leadership.h
@@ -38,7 +38,7 @@
 class Leadership {
 public:
     /*! @brief Lease times for tasks that run for seconds; candidates ask the holder before takeoverDelay has passed. */
-    static constexpr LeaderLeaseTimes times { std::chrono::milliseconds { 500 }, std::chrono::milliseconds { 1700 },
+    static constexpr LeaderLeaseTimes times { std::chrono::milliseconds { 500 }, leaderLeaseTerm,
         std::chrono::milliseconds { 2200 } };
     /*! @brief Timeout for an answer of the store. */
     static constexpr Duration answerTimeout = std::chrono::milliseconds { 1200 };
@@ -46,7 +46,7 @@
      * the renewal itself. */
     static constexpr Duration overdueAfter = std::chrono::milliseconds { 750 };
     /*! @brief Time without a renewal after which a candidate takes over from a holder that does not answer; shorter
-     * than the holder's term, which ControllerSettings::predecessorTerm accounts for. */
+     * than leaderLeaseTerm, which ControllerSettings::previousPermitsExpiryBound() accounts for. */
     static constexpr Duration silentHolderDelay = std::chrono::milliseconds { 1300 };
     /*! @brief Pause before the next step of a holder whose renewal failed. */
     static constexpr Duration uncertainInterval = std::chrono::milliseconds { 100 };
