--- a/src/lycheespool/controller/controller_planning.cpp
+++ b/src/lycheespool/controller/controller_planning.cpp
@@ -169,7 +169,7 @@
         request.evictionBudget = preemption.budget;
     }
     const RankInput input { policy.priority, isGuaranteed, ageMs, objective, remaining, uncertainty };
-    const auto rank = m_settings.policy.ordersBySlack ? rankOf(input, m_settings.policy.lateYields) : rankByAge(input);
+    const auto rank = m_settings.policy.ordersBySlack ? rankOf(input) : rankByAge(input);
     if (m_settings.policy.avoidsFailedNodes
         && job.failedNodes.size() <= std::max(maxAvoidedNodes, m_nodes.size() / avoidedNodesOneIn))
         request.avoidedNodes = job.failedNodes;
--- a/src/lycheespool/controller/decision_policy.cpp
+++ b/src/lycheespool/controller/decision_policy.cpp
@@ -100,8 +100,6 @@
             toggle([](auto& it) -> auto& { return it.learnsRunTimes; }) },
         { "queue", "orders_by_slack", "orders work of one priority by slack instead of age",
             toggle([](auto& it) -> auto& { return it.ordersBySlack; }) },
-        { "queue", "late_yields", "late work starts after work of all queues that can still be in time",
-            toggle([](auto& it) -> auto& { return it.lateYields; }) },
     };
     return all;
 }
--- a/src/lycheespool/controller/decision_policy.h
+++ b/src/lycheespool/controller/decision_policy.h
@@ -39,8 +39,6 @@
     bool learnsRunTimes { true };
     /*! @brief Waiting work of one priority is ordered by slack; otherwise by age. */
     bool ordersBySlack { true };
-    /*! @brief Late work that is not guaranteed starts after work of all queues that can still be in time. */
-    bool lateYields { true };
 };
 
 /**
--- a/src/lycheespool/dispatch/queue_rank.h
+++ b/src/lycheespool/dispatch/queue_rank.h
@@ -2,7 +2,6 @@
 
 #include <compare>
 #include <cstdint>
-#include <limits>
 #include <string>
 
 namespace lycheespool {
@@ -27,8 +26,7 @@
  * @brief Rank of a step in the start order; a smaller rank starts earlier.
  *
  * Guaranteed work comes first. Work that can no longer end within three times its objective comes last, since its
- * caller then gives no credit for it. Other work is ordered by priority, then by slack, least first. Late work gives
- * way to all work that can still be in time, also of less important queues.
+ * caller then gives no credit for it. Other work is ordered by priority, then by slack, least first.
  */
 struct QueueRank {
     bool isWithoutCredit { false };
@@ -42,20 +40,12 @@
 /*! @brief A job that ends after this multiple of its objective is without credit to its caller. */
 inline constexpr std::int64_t creditLimitObjectives = 3;
 
-/*! @brief Tier of late work that gives way to other queues. */
-inline constexpr std::uint32_t lateTier = std::numeric_limits<std::uint32_t>::max();
-
 /**
  * @brief Ranks a waiting step.
- *
- * Designed for bursts in which not all urgent work can be in time: late work keeps most of the credit that is left to
- * it while it waits, whereas work that could be in time would lose the larger part by waiting for it.
- *
  * @param input What the rank depends on.
- * @param lateYields Late work that is not guaranteed gives way to work of all queues.
  * @return The rank.
  */
-[[nodiscard]] inline QueueRank rankOf(const RankInput& input, bool lateYields = true)
+[[nodiscard]] inline QueueRank rankOf(const RankInput& input)
 {
     const auto slack = input.objectiveMs - input.ageMs - input.remainingMs;
     // Work must not be given up unless it is certain to end too late; hence the uncertainty.
@@ -67,8 +57,6 @@
     rank.tier = input.isGuaranteed ? 0 : input.priority + 1;
     rank.isLate = slack < 0;
     rank.slackMs = rank.isLate ? creditSlackMs : slack;
-    if (lateYields && rank.isLate && !input.isGuaranteed)
-        rank.tier = lateTier;
     return rank;
 }
 
--- a/test/lycheespool/controller/planner_load.cpp
+++ b/test/lycheespool/controller/planner_load.cpp
@@ -100,13 +100,13 @@
 
 }
 
-// Guards against late urgent work that holds up work of other queues until that is late as well.
-TEST_CASE("in an overload callers get more when late work gives way to work that can still be in time")
+// Guards against an order that lets old work of no urgency hold up urgent work in an overload.
+TEST_CASE("in an overload of the planner's mix the order by slack earns callers more than the order by age")
 {
-    DecisionPolicy byPriority;
-    byPriority.lateYields = false;
-    const auto yielding = meanCreditShare({});
-    const auto keeping = meanCreditShare(byPriority);
-    MESSAGE("share of the credit: late work gives way " << yielding << ", keeps its priority " << keeping);
-    CHECK(yielding > keeping);
+    DecisionPolicy byAge;
+    byAge.ordersBySlack = false;
+    const auto bySlackShare = meanCreditShare({});
+    const auto byAgeShare = meanCreditShare(byAge);
+    MESSAGE("share of the credit: by slack " << bySlackShare << ", by age " << byAgeShare);
+    CHECK(bySlackShare > byAgeShare);
 }
