--- a/src/lycheespool/cli/role_gateway.cpp
+++ b/src/lycheespool/cli/role_gateway.cpp
@@ -180,10 +180,10 @@
     parser.addText("policy", "TOML file with the policy of the leader's decisions, read again at SIGHUP", "");
     parser.parse(args);
     const auto policyFile = parser.text("policy");
+    const auto policy = policyFile.empty() ? DecisionPolicy {} : readDecisionPolicy(policyFile);
     const auto settings = platform::readSettings();
     auto controllerSettings = ControllerSettings::from(settings);
-    if (!policyFile.empty())
-        controllerSettings.policy = readDecisionPolicy(policyFile);
+    controllerSettings.policy = policy;
     startEventLog(settings.node);
     logEvent("started",
         { { "role", "gateway" }, { "zone", settings.zone }, { "store", settings.store.toString() },
--- a/src/lycheespool/controller/decision_policy.cpp
+++ b/src/lycheespool/controller/decision_policy.cpp
@@ -6,12 +6,15 @@
 #include <toml++/toml.h>
 
 #include <algorithm>
-#include <array>
 #include <fstream>
 #include <functional>
 #include <iterator>
+#include <optional>
 #include <sstream>
+#include <type_traits>
+#include <utility>
 #include <variant>
+#include <vector>
 
 namespace lycheespool {
 
@@ -197,8 +200,7 @@
 {
     std::string text;
     for (const auto& it : fields())
-        text += fmt::format("  {:45} {}; {}, default {}\n", fmt::format("{}.{}", it.table, it.key), it.meaning,
-            allowedOf(it), defaultOf(it));
+        text += fmt::format("{}.{}: {}; {}, default {}\n", it.table, it.key, it.meaning, allowedOf(it), defaultOf(it));
     return text;
 }
 
