--- a/src/lycheespool/controller/controller_planning.cpp
+++ b/src/lycheespool/controller/controller_planning.cpp
@@ -233,9 +233,11 @@
     std::map<std::tuple<std::string, std::uint32_t, std::uint32_t, std::uint64_t>, std::size_t> groups;
     std::map<std::size_t, double> groupCost;
     for (const auto& [key, run] : m_runs) {
+        if (run.isStopping() || guaranteed.contains(key.task.job))
+            continue;
         const auto& job = m_jobs.at(key.task.job);
         const auto& step = job.row.request.steps[key.task.position.step];
-        if (run.isStopping() || guaranteed.contains(key.task.job) || step.isService)
+        if (step.isService)
             continue;
         EvictableRun it { runs.keys.size(), 0, policyOf(job).priority + 1, run.charged, evictionCost(key, run, now) };
         if (step.isGang) {
--- a/src/lycheespool/controller/decision_policy.cpp
+++ b/src/lycheespool/controller/decision_policy.cpp
@@ -6,6 +6,7 @@
 #include <toml++/toml.h>
 
 #include <algorithm>
+#include <cmath>
 #include <fstream>
 #include <functional>
 #include <iterator>
@@ -20,10 +21,11 @@
 
 namespace {
 
-/*! @brief A number of the policy; whole numbers are converted. */
+/*! @brief A number of the policy. */
 struct NumberField {
     double min { 0 };
     double max { 0 };
+    bool isWhole { false };
     std::function<double(const DecisionPolicy&)> get;
     std::function<void(DecisionPolicy&, double)> set;
 };
@@ -44,11 +46,10 @@
 template <typename Access>
 NumberField number(double min, double max, Access access)
 {
-    return { min, max, [access](const DecisionPolicy& it) { return static_cast<double>(access(it)); },
-        [access](DecisionPolicy& it, double value) {
-            auto& member = access(it);
-            member = static_cast<std::remove_reference_t<decltype(member)>>(value);
-        } };
+    using Member = std::remove_reference_t<decltype(access(std::declval<DecisionPolicy&>()))>;
+    return { min, max, std::is_integral_v<Member>,
+        [access](const DecisionPolicy& it) { return static_cast<double>(access(it)); },
+        [access](DecisionPolicy& it, double value) { access(it) = static_cast<Member>(value); } };
 }
 
 template <typename Access>
@@ -110,7 +111,7 @@
 std::string allowedOf(const Field& field)
 {
     if (const auto* const it = std::get_if<NumberField>(&field.value))
-        return fmt::format("a number from {} to {}", it->min, it->max);
+        return fmt::format("a {}number from {} to {}", it->isWhole ? "whole " : "", it->min, it->max);
     return "true or false";
 }
 
@@ -145,7 +146,7 @@
     if (const auto* const it = std::get_if<NumberField>(&field.value)) {
         const auto value = node.is_number() ? node.value<double>() : std::nullopt;
         // The negated comparison also refuses NaN.
-        if (!value || !(*value >= it->min && *value <= it->max))
+        if (!value || !(*value >= it->min && *value <= it->max) || (it->isWhole && *value != std::floor(*value)))
             throw refuse();
         it->set(policy, *value);
         return;
--- a/test/lycheespool/controller/decision_policy.cpp
+++ b/test/lycheespool/controller/decision_policy.cpp
@@ -43,6 +43,8 @@
     CHECK(failureOf("[preemption]\nslack_ms = -1\n").find("a number from 0 to 60000") != std::string::npos);
     CHECK(failureOf("[preemption]\nslack_ms = nan\n").find("preemption.slack_ms") != std::string::npos);
     CHECK(failureOf("[preemption]\nslack_ms = true\n").find("preemption.slack_ms = true") != std::string::npos);
+    CHECK(
+        failureOf("[placement]\nmax_reservations = 2.5\n").find("a whole number from 0 to 1000") != std::string::npos);
     CHECK(failureOf("[preemption]\nenabled = 1\n").find("true or false") != std::string::npos);
     CHECK(failureOf("[preemption\n").find("line 1") != std::string::npos);
 }
