--- a/scripts/day_report.py
+++ b/scripts/day_report.py
@@ -35,12 +35,20 @@
     ("job failed", "job ended"),
 ]
 
+# Causes of ends that the leader did not ask for.
+CAUSES_BY_END = {
+    "failed": "failed by itself",
+    "broken": "failed member",
+    "alone": "gang incomplete",
+    "lapsed": "lease lapsed",
+}
+
 
 def cause_of(reason, how):
     for text, cause in CAUSES:
         if text in reason:
             return cause
-    return {"failed": "failed by itself", "broken": "failed member", "alone": "gang incomplete", "lapsed": "lease lapsed"}.get(how, reason or how)
+    return CAUSES_BY_END.get(how, reason or how)
 
 
 class Run:
@@ -152,12 +160,18 @@
 
 def print_jobs(jobs):
     print("\njobs that ended late, failed or are open (objective as forecast at the last start)")
-    print(f"{'job':16} {'queue':12} {'tier':>4} {'tasks':>5} {'gang':>5} {'plans':>5} {'age ms':>7} {'objective':>9} {'state':10} lost ms by cause")
+    print(
+        f"{'job':16} {'queue':12} {'tier':>4} {'tasks':>5} {'gang':>5} {'plans':>5} {'age ms':>7} "
+        f"{'objective':>9} {'state':10} lost ms by cause"
+    )
     for name, job in sorted(jobs.items(), key=lambda it: it[1].accepted_ms or 0):
         if job.state == "cancelled" or (job.state == "completed" and not job.is_late()):
             continue
         lost = ", ".join(f"{cause} {ms}" for cause, ms in job.lost_ms().most_common() if ms > 100)
-        print(f"{name} {job.queue:12.12} {job.tier!s:>4} {len(job.tasks):5} {job.gang!s:>5} {job.plans:5} {job.age_ms()!s:>7} {job.objective_ms!s:>9} {job.state:10} {lost}")
+        print(
+            f"{name} {job.queue:12.12} {job.tier!s:>4} {len(job.tasks):5} {job.gang!s:>5} {job.plans:5} "
+            f"{job.age_ms()!s:>7} {job.objective_ms!s:>9} {job.state:10} {lost}"
+        )
 
 
 def print_causes(jobs):
@@ -198,7 +212,10 @@
         if abs(cost) >= 0.0005:
             print(f"  {cost:7.4f}  {name} ({amount:.3f})")
     for kind in report["classes"]:
-        print(f"  {kind['name']:16} asked {kind['n']} in time {kind['in_aim']} late {kind['late']} refused {kind['refused']} failed {kind['failed']} not owed {kind['not_owed']}")
+        print(
+            f"  {kind['name']:16} asked {kind['n']} in time {kind['in_aim']} late {kind['late']} "
+            f"refused {kind['refused']} failed {kind['failed']} not owed {kind['not_owed']}"
+        )
 
 
 def main():
--- a/scripts/experiment.py
+++ b/scripts/experiment.py
@@ -25,8 +25,10 @@
 FIRST_SEED = 920001
 PLAY_TIMEOUT_S = 600
 BUILD_TIMEOUT_S = 1800
+MAX_JOBS = max(1, (os.cpu_count() or 2) // 2)
 # Two-sided 95 % quantiles of Student's t by degrees of freedom; beyond the table the normal quantile is close enough.
-STUDENT_T = {1: 12.71, 2: 4.30, 3: 3.18, 4: 2.78, 5: 2.57, 6: 2.45, 7: 2.36, 8: 2.31, 9: 2.26, 10: 2.23, 15: 2.13, 20: 2.09, 30: 2.04}
+STUDENT_T = {1: 12.71, 2: 4.30, 3: 3.18, 4: 2.78, 5: 2.57, 6: 2.45, 7: 2.36, 8: 2.31, 9: 2.26, 10: 2.23, 15: 2.13,
+             20: 2.09, 30: 2.04}
 
 
 def student_t(degrees):
@@ -93,13 +95,21 @@
     return [day["name"] for day in days if day.get("slot") != "quiet"]
 
 
+def build(bench, arm):
+    """Builds an arm and returns why it failed, or nothing."""
+    command = [bench, "build"]
+    built = subprocess.run(command, cwd=arm.folder, capture_output=True, text=True, timeout=BUILD_TIMEOUT_S)
+    return f"{arm.name} does not build: {(built.stdout + built.stderr)[-600:]}" if built.returncode else ""
+
+
 def play(bench, arm, site, day, seed, why):
     """Plays one day and returns its figures, or the reason why there are none."""
     report = arm.folder / "build" / f"report-{os.getpid()}-{day}-{seed}-{pathlib.Path(site).stem}.json"
     report.parent.mkdir(exist_ok=True)
-    command = [bench, "run", site, day, "--vary", "--seed", str(seed), "--no-cpu", "--jobs", "1", "--report", str(report), "--why", why]
-    if day == "mix":
-        command.remove("--vary")
+    command = [bench, "run", site, day, "--seed", str(seed), "--no-cpu", "--jobs", "1"]
+    command += ["--report", str(report), "--why", why]
+    if day != "mix":
+        command.append("--vary")
     try:
         done = subprocess.run(command, cwd=arm.folder, capture_output=True, text=True, timeout=PLAY_TIMEOUT_S)
     except subprocess.TimeoutExpired:
@@ -112,19 +122,19 @@
 
 
 def read_report(report):
+    """Picks the figures that are compared from the bench's report of a play."""
     prices = {name: (amount, cost) for name, amount, cost in report["prices"]}
-    calls = sum(amount for name, (amount, _) in prices.items() if name == "cloud calls")
     waste = prices.get("core-seconds of work thrown away", (0, 0))
-    failed = [it for it in (report.get("fault"),) if it]
+    outcomes = ("n", "in_aim", "late", "refused", "failed", "not_owed")
     return {
         "worth": report["G"],
         "served": report["served"],
         "breaks": report["breaks"] or {},
-        "fault": failed,
+        "fault": report.get("fault"),
         "waste": waste[0],
         "waste_worth": waste[1],
-        "calls": calls,
-        "classes": {it["name"]: [it["n"], it["in_aim"], it["late"], it["refused"], it["failed"], it["not_owed"]] for it in report["classes"]},
+        "calls": prices.get("cloud calls", (0, 0))[0],
+        "classes": {kind["name"]: [kind[it] for it in outcomes] for kind in report["classes"]},
         "prices": {name: cost for name, (_, cost) in prices.items() if cost > 0.0005},
     }
 
@@ -142,11 +152,15 @@
     print(f"\n{arm.name} against {base.name} ({base.key()} -> {arm.key()})")
     print(f"{'site':24} {'day':10} {'n':>3} {'base':>7} {'arm':>7} {'difference':>18} {'waste':>14} {'calls':>12} broken")
     for title, cases in groups:
-        pairs = [(results[base.key(), *case], results[arm.key(), *case]) for case in cases if (base.key(), *case) in results and (arm.key(), *case) in results]
+        pairs = [(results.get((base.key(), *case)), results.get((arm.key(), *case))) for case in cases]
+        pairs = [pair for pair in pairs if all(pair)]
         if not pairs:
             continue
         mean, width = interval([after["worth"] - before["worth"] for before, after in pairs])
-        means = [[statistics.fmean(pair[side][key] for pair in pairs) for side in (0, 1)] for key in ("worth", "waste", "calls")]
+        means = [
+            [statistics.fmean(pair[side][key] for pair in pairs) for side in (0, 1)]
+            for key in ("worth", "waste", "calls")
+        ]
         broken = [sorted({rule for pair in pairs for rule in pair[side]["breaks"]}) for side in (0, 1)]
         print(
             f"{title[0]:24} {title[1]:10} {len(pairs):3} {means[0][0]:7.4f} {means[0][1]:7.4f} {mean:+8.4f} +-{width:7.4f} "
@@ -158,15 +172,19 @@
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
     parser.add_argument("--bench", required=True, help="program that plays days")
     parser.add_argument("--site", action="append", required=True, help="site file; repeatable")
-    parser.add_argument("--arm", action="append", required=True, help="NAME=REVISION or NAME=policy:FILE; the first is the base")
-    parser.add_argument("--day", action="append", default=[], help="name of a day, or 'mix'; by default all days with faults")
+    parser.add_argument(
+        "--arm", action="append", required=True, help="NAME=REVISION or NAME=policy:FILE; the first is the base"
+    )
+    parser.add_argument(
+        "--day", action="append", default=[], help="name of a day, or 'mix'; by default all days with faults"
+    )
     parser.add_argument("--seeds", type=int, default=8, help="seeds for each day")
     parser.add_argument("--first-seed", type=int, default=FIRST_SEED)
-    parser.add_argument("--jobs", type=int, default=max(1, (os.cpu_count() or 2) // 2), help="plays at a time, at most half of the processors")
+    parser.add_argument("--jobs", type=int, default=MAX_JOBS, help="plays at a time, at most half of the processors")
     parser.add_argument("--output", type=pathlib.Path, default=ROOT / "build" / "experiments")
     parser.add_argument("--why", default="paired comparison of policies", help="line for the journal")
     options = parser.parse_args()
-    jobs = max(1, min(options.jobs, (os.cpu_count() or 2) // 2))
+    jobs = max(1, min(options.jobs, MAX_JOBS))
     options.output.mkdir(parents=True, exist_ok=True)
     arms = [Arm(text) for text in options.arm]
     for arm in arms:
@@ -190,9 +208,8 @@
             if not open_cases:
                 continue
             arm.activate()
-            built = subprocess.run([options.bench, "build"], cwd=arm.folder, capture_output=True, text=True, timeout=BUILD_TIMEOUT_S)
-            if built.returncode != 0:
-                failures.append(f"{arm.name} does not build: {(built.stdout + built.stderr)[-600:]}")
+            if error := build(options.bench, arm):
+                failures.append(error)
                 continue
             with concurrent.futures.ThreadPoolExecutor(jobs) as pool:
                 plays = {pool.submit(play, options.bench, arm, *case, options.why): case for case in open_cases}
@@ -203,7 +220,8 @@
                         failures.append(f"{arm.name} {' '.join(map(str, case))}: {figures['error']}")
                         continue
                     results[arm.key(), *case] = figures
-                    out.write(json.dumps({"arm": arm.key(), "site": case[0], "day": case[1], "seed": case[2], "figures": figures}) + "\n")
+                    entry = dict(zip(("arm", "site", "day", "seed", "figures"), (arm.key(), *case, figures)))
+                    out.write(json.dumps(entry) + "\n")
                     out.flush()
     for arm in arms:
         collect_journal(arm)
@@ -216,8 +234,12 @@
         groups.append(((name, "all"), own))
     for arm in arms[1:] or arms:
         print_comparison(arms[0], arm, results, groups)
-    broken = [f"{arm.name} {' '.join(map(str, case))}: {results[arm.key(), *case]['breaks'] or results[arm.key(), *case]['fault']}"
-              for arm in arms for case in cases if results.get((arm.key(), *case), {}).get("breaks") or results.get((arm.key(), *case), {}).get("fault")]
+    broken = []
+    for arm in arms:
+        for case in cases:
+            figures = results.get((arm.key(), *case), {})
+            if figures.get("breaks") or figures.get("fault"):
+                broken.append(f"{arm.name} {' '.join(map(str, case))}: {figures['breaks'] or figures['fault']}")
     for title, lines in (("broken rules and faults", broken), ("plays without a result, not counted", failures)):
         if lines:
             print(f"\n{title}:\n  " + "\n  ".join(lines))
