Share the credit rule of the simulated loads and split the experiment script's main

Two test files drew and credited the same way, one with the late credit as an amount and one as a share; simulated_load.h has both once, as a share. main() of experiment.py read, played and printed; reading and playing are functions. A comment still named a fixed rack wait.

--- a/scripts/experiment.py
+++ b/scripts/experiment.py
@@ -168,6 +168,36 @@
         )
 
 
+def read_results(log):
+    """Returns the figures of the plays that earlier calls finished."""
+    results = {}
+    for line in log.read_text().splitlines() if log.exists() else []:
+        try:
+            entry = json.loads(line)
+            results[entry["arm"], entry["site"], entry["day"], entry["seed"]] = entry["figures"]
+        except (ValueError, KeyError):
+            print(f"{log}: skipped an unreadable line: {line[:80]}", file=sys.stderr)
+    return results
+
+
+def play_cases(options, arm, cases, results, out):
+    """Plays an arm's cases, adds their figures to the results and the log, and returns the failures."""
+    failures = []
+    with concurrent.futures.ThreadPoolExecutor(max(1, min(options.jobs, MAX_JOBS))) as pool:
+        plays = {pool.submit(play, options.bench, arm, *case, options.why): case for case in cases}
+        for future in concurrent.futures.as_completed(plays):
+            case = plays[future]
+            figures = future.result()
+            if "error" in figures:
+                failures.append(f"{arm.name} {' '.join(map(str, case))}: {figures['error']}")
+                continue
+            results[arm.key(), *case] = figures
+            entry = dict(zip(("arm", "site", "day", "seed", "figures"), (arm.key(), *case, figures)))
+            out.write(json.dumps(entry) + "\n")
+            out.flush()
+    return failures
+
+
 def main():
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
     parser.add_argument("--bench", required=True, help="program that plays days")
@@ -184,19 +214,12 @@
     parser.add_argument("--output", type=pathlib.Path, default=ROOT / "build" / "experiments")
     parser.add_argument("--why", default="paired comparison of policies", help="line for the journal")
     options = parser.parse_args()
-    jobs = max(1, min(options.jobs, MAX_JOBS))
     options.output.mkdir(parents=True, exist_ok=True)
     arms = [Arm(text) for text in options.arm]
     for arm in arms:
         arm.check_out(options.output / "arms")
     log = options.output / "results.jsonl"
-    results = {}
-    for line in log.read_text().splitlines() if log.exists() else []:
-        try:
-            entry = json.loads(line)
-            results[entry["arm"], entry["site"], entry["day"], entry["seed"]] = entry["figures"]
-        except (ValueError, KeyError):
-            print(f"{log}: skipped an unreadable line: {line[:80]}", file=sys.stderr)
+    results = read_results(log)
     cases = []
     for site in options.site:
         days = ["mix"] if options.day == ["mix"] else days_of(site, options.day)
@@ -211,18 +234,7 @@
             if error := build(options.bench, arm):
                 failures.append(error)
                 continue
-            with concurrent.futures.ThreadPoolExecutor(jobs) as pool:
-                plays = {pool.submit(play, options.bench, arm, *case, options.why): case for case in open_cases}
-                for future in concurrent.futures.as_completed(plays):
-                    case = plays[future]
-                    figures = future.result()
-                    if "error" in figures:
-                        failures.append(f"{arm.name} {' '.join(map(str, case))}: {figures['error']}")
-                        continue
-                    results[arm.key(), *case] = figures
-                    entry = dict(zip(("arm", "site", "day", "seed", "figures"), (arm.key(), *case, figures)))
-                    out.write(json.dumps(entry) + "\n")
-                    out.flush()
+            failures += play_cases(options, arm, open_cases, results, out)
     for arm in arms:
         collect_journal(arm)
 
--- a/src/lycheespool/controller/controller_planning.cpp
+++ b/src/lycheespool/controller/controller_planning.cpp
@@ -147,7 +147,7 @@
     request.mayEvict = isGuaranteed;
     request.speedWeight
         = policy.priority == 0 ? m_settings.policy.urgentSpeedWeight : m_settings.policy.normalSpeedWeight;
-    // Waiting for the preferred rack pays off until the wait exceeds half of the extra run time elsewhere. Time that
+    // Waiting for the preferred rack pays off until the wait exceeds a share of the extra run time elsewhere. Time that
     // the job spent on earlier steps or on a lost run does not count as waiting.
     const auto remoteCost = (m_settings.bounds.remoteFactor - 1) * forecast.expectedMs;
     request.hasStartBound = isGuaranteed && job.progress.state == WorkloadState::pending;
--- a/test/lycheespool/controller/heavy_load.cpp
+++ b/test/lycheespool/controller/heavy_load.cpp
@@ -1,4 +1,5 @@
 #include "lycheespool/controller/cluster_simulation.h"
+#include "lycheespool/controller/simulated_load.h"
 
 #include <doctest/doctest.h>
 
@@ -17,7 +18,8 @@
     double slowdownFactor;
     std::int64_t targetMs;
     double credit;
-    double lateCredit;
+    /*! @brief Share of the credit that late work earns. */
+    double lateShare;
 };
 
 constexpr std::size_t nodeCount = 11;
@@ -82,13 +84,11 @@
     for (const auto& [id, job] : simulation.jobs()) {
         const auto& load = *classes.at(id);
         const auto objective
-            = static_cast<std::int64_t>(load.slowdownFactor * static_cast<double>(load.workMs)) + load.targetMs;
-        const auto took = job.endedMs < 0 ? std::numeric_limits<std::int64_t>::max() : job.endedMs - job.submittedMs;
+            = load.slowdownFactor * static_cast<double>(load.workMs) + static_cast<double>(load.targetMs);
+        const auto took = job.endedMs < 0 ? std::numeric_limits<double>::infinity()
+                                          : static_cast<double>(job.endedMs - job.submittedMs);
         possible += load.credit;
-        if (took <= objective)
-            earned += load.credit;
-        else if (took <= 3 * objective)
-            earned += load.credit * load.lateCredit;
+        earned += load.credit * earnedShare(took, objective, load.lateShare);
     }
     return earned / possible;
 }
--- a/test/lycheespool/controller/large_load.cpp
+++ b/test/lycheespool/controller/large_load.cpp
@@ -1,9 +1,8 @@
 #include "lycheespool/controller/cluster_simulation.h"
+#include "lycheespool/controller/simulated_load.h"
 
 #include <doctest/doctest.h>
 
-#include <cmath>
-
 using namespace lycheespool;
 
 namespace {
@@ -60,11 +59,6 @@
     return size;
 }
 
-double draw(std::mt19937_64& random, double mean, double spread)
-{
-    return mean * std::exp(spread * std::normal_distribution<double> { 0, 1 }(random)-spread * spread / 2);
-}
-
 JobRow makeJob(std::mt19937_64& random, const LoadClass& load, double workMs)
 {
     JobRow row;
--- a/test/lycheespool/controller/planner_load.cpp
+++ b/test/lycheespool/controller/planner_load.cpp
@@ -1,4 +1,5 @@
 #include "lycheespool/controller/cluster_simulation.h"
+#include "lycheespool/controller/simulated_load.h"
 
 #include <doctest/doctest.h>
 
@@ -21,7 +22,8 @@
     double slowdownFactor;
     std::int64_t targetMs;
     double credit;
-    double lateCredit;
+    /*! @brief Share of the credit that late work earns. */
+    double lateShare;
 };
 
 constexpr std::int64_t loadMs = 34000;
@@ -31,16 +33,11 @@
 // More work than the executors can do in time. Urgent steps take whole executors as often as parts of them, arrive in
 // bursts, and their run times are known only within a factor of two.
 const std::vector<LoadClass> plannerLoad {
-    { 1, 0.72, 8500, 0.3, 0.2, 26000, 38000, { 1, 2, 4, 8, 8 }, 1.5, 9, 3.0, 1000, 3.0, 0.9 },
-    { 0, 0.90, 2500, 0.5, 0.5, 7500, 15000, { 1, 2, 4, 8, 8 }, 3.4, 21, 1.5, 250, 4.0, 0.8 },
+    { 1, 0.72, 8500, 0.3, 0.2, 26000, 38000, { 1, 2, 4, 8, 8 }, 1.5, 9, 3.0, 1000, 3.0, 0.3 },
+    { 0, 0.90, 2500, 0.5, 0.5, 7500, 15000, { 1, 2, 4, 8, 8 }, 3.4, 21, 1.5, 250, 4.0, 0.2 },
     { 2, 0.44, 6100, 0.3, 0.5, 5500, 11500, { 1 }, 9.2, 55, 3.0, 3000, 1.0, 0.3 },
 };
 
-double draw(std::mt19937_64& random, double mean, double spread)
-{
-    return mean * std::exp(spread * std::normal_distribution<double> { 0, 1 }(random)-spread * spread / 2);
-}
-
 /*! @brief Plays the load and returns the share of the possible credit that callers get. */
 double creditShare(std::uint64_t seed, const DecisionPolicy& policy)
 {
@@ -84,7 +81,7 @@
         const auto work = static_cast<double>(job.workMs) / load.workMs;
         const auto weight = 0.3 + 0.7 * work;
         possible += load.credit * weight;
-        earned += took <= objective ? load.credit * weight : took <= 3 * objective ? load.lateCredit * weight : 0;
+        earned += load.credit * weight * earnedShare(took, objective, load.lateShare);
     }
     return earned / possible;
 }
