--- a/src/lycheespool/controller/controller.h
+++ b/src/lycheespool/controller/controller.h
@@ -220,7 +220,8 @@
 
     // Runs.
     void applyEnd(ExecutorView& node, const RunEnd& end, const ClockReading& now);
-    void recordFailure(ManagedWorkload& job, const RunKey& key, ExecutorView& node, const ClockReading& now);
+    void recordFailure(
+        ManagedWorkload& job, const RunKey& key, const LiveRun& run, ExecutorView& node, const ClockReading& now);
     void recordSuspicion(ManagedWorkload& job, ExecutorView& node, const ClockReading& now);
     void markDone(ManagedWorkload& job, const TaskPosition& position, const ClockReading& now);
     void releaseRun(Runs::iterator it);
@@ -270,6 +271,7 @@
     Counter& m_runsPlanned;
     Counter& m_runsDone;
     Counter& m_runsFailed;
+    Counter& m_runsFailedOnSuspects;
     Counter& m_runsLost;
     Counter& m_runsEvicted;
     Counter& m_runsStalled;
@@ -277,6 +279,7 @@
     Counter& m_unknownRunsStopped;
     LatencyHistogram& m_waitMs;
     LatencyHistogram& m_completionMs;
+    LatencyHistogram& m_failureMs;
 };
 
 }
--- a/src/lycheespool/controller/controller_jobs.cpp
+++ b/src/lycheespool/controller/controller_jobs.cpp
@@ -27,6 +27,7 @@
     , m_runsPlanned { metrics.counter("runs_planned_total") }
     , m_runsDone { metrics.counter("runs_done_total") }
     , m_runsFailed { metrics.counter("runs_failed_total") }
+    , m_runsFailedOnSuspects { metrics.counter("runs_failed_on_suspects_total") }
     , m_runsLost { metrics.counter("runs_lost_total") }
     , m_runsEvicted { metrics.counter("runs_evicted_total") }
     , m_runsStalled { metrics.counter("runs_stalled_total") }
@@ -34,6 +35,7 @@
     , m_unknownRunsStopped { metrics.counter("runs_unknown_stopped_total") }
     , m_waitMs { metrics.histogram("first_start_wait_ms") }
     , m_completionMs { metrics.histogram("completion_ms") }
+    , m_failureMs { metrics.histogram("run_failed_after_ms") }
 {
 }
 
--- a/src/lycheespool/controller/controller_planning.cpp
+++ b/src/lycheespool/controller/controller_planning.cpp
@@ -368,6 +368,7 @@
         run.charged = spec.charged();
         run.checkpoint = task.checkpoint;
         run.isPartial = !task.checkpoint.empty();
+        run.plannedReliability = trustOf(node, now.steady);
         const RunKey key { { job.id, position }, task.lastRun };
         m_runs.emplace(key, std::move(run));
         round.waiting.erase(position.index);
--- a/src/lycheespool/controller/controller_runs.cpp
+++ b/src/lycheespool/controller/controller_runs.cpp
@@ -177,9 +177,11 @@
         recordCheckpoint(*job, key, end.checkpoint);
         if (end.kind == RunEndKind::done)
             recordDuration(*job, key, it->second, now);
+        const auto run = it->second;
         releaseRun(it);
         if (end.kind == RunEndKind::done) {
             m_runsDone.add();
+            node.succeededAt = now.steady;
             node.failedJobs.clear();
             node.failuresInARow = 0;
             node.suspectedUntil = {};
@@ -187,7 +189,7 @@
                 markDone(*job, position, now);
         } else {
             if (end.kind == RunEndKind::failed)
-                recordFailure(*job, key, node, now);
+                recordFailure(*job, key, run, node, now);
             if (isGang)
                 stopGangOf(*job, position, end.run, "another member of the gang ended");
         }
--- a/src/lycheespool/controller/controller_trust.cpp
+++ b/src/lycheespool/controller/controller_trust.cpp
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 namespace lycheespool {
@@ -23,6 +24,17 @@
 // Number of nodes on which a job must fail before the job is suspected instead of the nodes.
 constexpr std::size_t failedNodesToSuspectJob = 2;
 
+std::int64_t millisecondsBetween(TimePoint begin, TimePoint end)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(end - begin).count();
+}
+
+constexpr std::string_view reliabilityName(NodeReliability reliability)
+{
+    constexpr std::array<std::string_view, 3> names { "reliable", "failed_once", "suspected" };
+    return names[static_cast<std::size_t>(reliability)];
+}
+
 Duration millisecondsOf(double ms)
 {
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli> { ms });
@@ -39,9 +51,12 @@
     return isDoubtful ? NodeReliability::failedOnce : NodeReliability::reliable;
 }
 
-void Controller::recordFailure(ManagedWorkload& job, const RunKey& key, ExecutorView& node, const ClockReading& now)
+void Controller::recordFailure(
+    ManagedWorkload& job, const RunKey& key, const LiveRun& run, ExecutorView& node, const ClockReading& now)
 {
     m_runsFailed.add();
+    if (run.plannedReliability == NodeReliability::suspected)
+        m_runsFailedOnSuspects.add();
     recordSuspicion(job, node, now);
     const auto& position = key.task.position;
     const auto& step = job.row.request.steps[position.step];
@@ -54,6 +69,17 @@
     ++round.gangFailures;
     markChanged(job);
     const auto failures = step.isGang ? round.gangFailures : task.failures;
+    const auto ranMs = millisecondsBetween(run.confirmedAt, now.steady);
+    if (run.phase == RunPhase::confirmed)
+        m_failureMs.record(static_cast<double>(ranMs));
+    logEvent("run_failed",
+        { { "task", key.task.toString() }, { "run", key.run }, { "node", node.node },
+            { "executor", node.lifetime.executor }, { "attempt", failures },
+            { "max_attempts", policyOf(job).maxAttempts }, { "ran_ms", run.phase == RunPhase::confirmed ? ranMs : 0 },
+            { "planned_reliability", reliabilityName(run.plannedReliability) },
+            { "node_failures", node.failuresInARow },
+            { "node_success_age_ms", node.succeededAt ? millisecondsBetween(*node.succeededAt, now.steady) : -1 },
+            { "epoch", m_epoch.value() } });
     if (!step.isService && !isEnded(job.progress.state) && failures >= policyOf(job).maxAttempts)
         endJob(job, WorkloadState::failed, "task " + key.task.toString() + " failed too often", now);
 }
--- a/src/lycheespool/controller/executor_view.h
+++ b/src/lycheespool/controller/executor_view.h
@@ -55,6 +55,8 @@
     std::set<std::string> failedJobs;
     std::size_t failuresInARow { 0 };
     TimePoint failedAt {};
+    /*! @brief When the latest run that ended as done was reported; nothing if none was in this term. */
+    std::optional<TimePoint> succeededAt;
     TimePoint suspectedUntil {};
 };
 
--- a/src/lycheespool/controller/live_run.h
+++ b/src/lycheespool/controller/live_run.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "lycheespool/core/clock.h"
+#include "lycheespool/dispatch/node_capacity.h"
 #include "lycheespool/workload/lifetime.h"
 #include "lycheespool/workload/resource_vector.h"
 #include "lycheespool/workload/task_name.h"
@@ -57,6 +58,8 @@
     bool isPartial { false };
     /*! @brief When the latest checkpoint was first reported. */
     TimePoint checkpointAt {};
+    /*! @brief Reliability of the executor when the run was planned; the best one for runs of an earlier term. */
+    NodeReliability plannedReliability { NodeReliability::reliable };
 
     [[nodiscard]] bool isStopping() const { return !stopReason.empty(); }
 };
