Spend the attempts of a task only as fast as evidence of its executors arrives

Callers saw wide jobs (stop-quote, two attempts a task, 39 tasks in the mean) end as failed although nearly all executors worked. Cause: an executor that fails what it starts does so within 40 ms and is then free again, so it drew one task after another. Suspected executors got a probe every 50 ms, an executor not yet suspected was filled at once, and a failed task started again 60 ms later on any executor without a known failure. Change: probes of a suspected executor are paced (1 s, doubled with each that fails); single tasks start two at a time on an executor until a run has worked there for 300 ms; a failed task waits for up to 400 ms and prefers executors that are proven since; the last attempt waits up to 1.5 s for one. Waits end at a share of the slack. Gangs and steps with a limit per executor follow the same rule.

--- a/src/lycheespool/controller/controller.h
+++ b/src/lycheespool/controller/controller.h
@@ -222,7 +222,7 @@
     void applyEnd(ExecutorView& node, const RunEnd& end, const ClockReading& now);
     void recordFailure(
         ManagedWorkload& job, const RunKey& key, const LiveRun& run, ExecutorView& node, const ClockReading& now);
-    void recordSuspicion(ManagedWorkload& job, ExecutorView& node, const ClockReading& now);
+    void recordSuspicion(ManagedWorkload& job, const LiveRun& run, ExecutorView& node, const ClockReading& now);
     void markDone(ManagedWorkload& job, const TaskPosition& position, const ClockReading& now);
     void releaseRun(Runs::iterator it);
     void stopRun(const RunKey& key, const std::string& reason);
@@ -244,10 +244,15 @@
     [[nodiscard]] std::vector<WaitingStep> waitingSteps(const ClockReading& now, std::optional<std::int64_t>& nextDue);
     [[nodiscard]] std::set<std::string> guaranteedJobs() const;
     void addStartRequests(std::vector<WaitingStep>& steps, ManagedWorkload& job, std::uint32_t occurrence,
-        std::uint32_t step, bool isGuaranteed, std::int64_t ageMs, std::int64_t readyMs);
+        std::uint32_t step, bool isGuaranteed, std::int64_t ageMs, std::int64_t readyMs, TimePoint now);
+    void addRequestsByFailures(std::vector<WaitingStep>& steps, WaitingStep step, TimePoint now);
     [[nodiscard]] bool acceptsWork(const ExecutorView& node, TimePoint now) const;
     [[nodiscard]] std::vector<double> criticalPathsMs(const ManagedWorkload& job) const;
     [[nodiscard]] NodeReliability trustOf(const ExecutorView& node, TimePoint now) const;
+    [[nodiscard]] bool showsWork(const LiveRun& run, TimePoint now) const;
+    void recordWork(ExecutorView& node, const LiveRun& run, TimePoint now);
+    void recordSuccess(ExecutorView& node, const LiveRun& run, const ClockReading& now);
+    void startSuspicion(ExecutorView& node, bool isFailedProbe, TimePoint now);
     [[nodiscard]] EvictableRuns evictableRuns(TimePoint now) const;
     [[nodiscard]] std::map<std::string, std::vector<NodeCapacity>> plannerNodes(
         const EvictableRuns& evictable, TimePoint now) const;
--- a/src/lycheespool/controller/controller_planning.cpp
+++ b/src/lycheespool/controller/controller_planning.cpp
@@ -3,6 +3,7 @@
 
 #include "lycheespool/core/event_log.h"
 #include "lycheespool/dispatch/preemption.h"
+#include "lycheespool/dispatch/retry_timing.h"
 #include "lycheespool/dispatch/start_planner.h"
 
 #include <fmt/format.h>
@@ -100,8 +101,8 @@
                 }
                 if (!round.readySinceMs)
                     round.readySinceMs = now.unixMs;
-                addStartRequests(
-                    waiting, job, k, s, guaranteed.contains(id), now.unixMs - since, now.unixMs - *round.readySinceMs);
+                addStartRequests(waiting, job, k, s, guaranteed.contains(id), now.unixMs - since,
+                    now.unixMs - *round.readySinceMs, now.steady);
             }
         }
     }
@@ -126,7 +127,7 @@
 }
 
 void Controller::addStartRequests(std::vector<WaitingStep>& steps, ManagedWorkload& job, std::uint32_t occurrence,
-    std::uint32_t step, bool isGuaranteed, std::int64_t ageMs, std::int64_t readyMs)
+    std::uint32_t step, bool isGuaranteed, std::int64_t ageMs, std::int64_t readyMs, TimePoint now)
 {
     const auto& spec = job.row.request.steps[step];
     const auto& policy = policyOf(job);
@@ -173,32 +174,50 @@
     if (m_settings.policy.avoidsFailedNodes
         && job.failedNodes.size() <= std::max(maxAvoidedNodes, m_nodes.size() / avoidedNodesOneIn))
         request.avoidedNodes = job.failedNodes;
-    const auto add = [&](std::vector<std::uint32_t> indices, bool prefersReliable) {
-        if (indices.empty())
-            return;
-        request.tasks = static_cast<std::uint32_t>(indices.size());
-        request.prefersReliable = prefersReliable;
-        steps.push_back({ rank, input, readyMs, &job, occurrence, step, std::move(indices), request });
+    addRequestsByFailures(steps, { rank, input, readyMs, &job, occurrence, step, {}, std::move(request) }, now);
+}
+
+/*! @brief Splits a waiting step into a request for the tasks that failed before, which wait for evidence of which
+ * executors work, and one for the others. */
+void Controller::addRequestsByFailures(std::vector<WaitingStep>& steps, WaitingStep step, TimePoint now)
+{
+    const auto& job = *step.job;
+    const auto& spec = job.row.request.steps[step.step];
+    const auto& policy = m_settings.policy;
+    const auto maxAttempts = policyOf(job).maxAttempts;
+    const auto& round = step.job->round(step.occurrence, step.step);
+    const auto timing = retryTiming(step.input, policy.retry);
+    const auto failuresOf = [&](std::uint32_t i) {
+        return spec.isGang ? round.gangFailures : job.progress.at({ step.occurrence, step.step, i }).failures;
     };
-    const auto& waiting = job.round(occurrence, step).waiting;
-    const auto isLast = [&](std::uint32_t failures) {
-        return m_settings.policy.protectsLastAttempt && failures + 1 >= policy.maxAttempts;
+    const auto sinceFailure = [&](std::uint32_t i) {
+        const auto it = round.failedAt.find(spec.isGang ? 0 : i);
+        return it == round.failedAt.end() ? Duration::max() : now - it->second;
     };
-    if (spec.isGang)
-        request.isLastAttempt = isLast(job.round(occurrence, step).gangFailures);
-    // A limit per executor applies to all tasks of the step, so they stay in one request.
-    if (spec.isGang || spec.maxPerExecutor > 0)
-        return add({ waiting.begin(), waiting.end() }, false);
-    std::vector<std::uint32_t> fresh;
-    std::vector<std::uint32_t> failed;
-    for (const auto i : waiting)
-        (job.progress.at({ occurrence, step, i }).failures > 0 ? failed : fresh).push_back(i);
-    request.isLastAttempt = std::ranges::any_of(failed, [&](auto i) {
-        return isLast(job.progress.at({ occurrence, step, i }).failures);
-    });
-    add(std::move(failed), true);
-    request.isLastAttempt = false;
-    add(std::move(fresh), false);
+    auto retry = step;
+    auto& request = retry.request;
+    request.prefersReliable = true;
+    request.acceptsUnproven = false;
+    for (const auto i : round.waiting) {
+        if (failuresOf(i) == 0) {
+            step.indices.push_back(i);
+        } else if (sinceFailure(i) >= timing.delay) {
+            retry.indices.push_back(i);
+            request.isLastAttempt
+                = request.isLastAttempt || (policy.protectsLastAttempt && failuresOf(i) + 1 >= maxAttempts);
+            request.acceptsUnproven = request.acceptsUnproven || sinceFailure(i) >= timing.provenWait;
+        }
+    }
+    const auto add = [&](WaitingStep it) {
+        it.request.tasks = static_cast<std::uint32_t>(it.indices.size());
+        if (!it.indices.empty())
+            steps.push_back(std::move(it));
+    };
+    // A limit per executor applies to all tasks of the step, so one plan has only one request of such a step.
+    const bool isOneRequest = spec.maxPerExecutor > 0 && !retry.indices.empty();
+    add(std::move(retry));
+    if (!isOneRequest)
+        add(std::move(step));
 }
 
 double Controller::evictionCost(const RunKey& key, const LiveRun& run, TimePoint now) const
@@ -263,8 +282,11 @@
 {
     std::map<Lifetime, ResourceVector> busy;
     std::map<Lifetime, ResourceVector> releasing;
+    std::map<Lifetime, std::size_t> trials;
     for (const auto& [key, run] : m_runs) {
         busy[run.lifetime] += run.charged;
+        if (!showsWork(run, now))
+            ++trials[run.lifetime];
         if (run.isStopping())
             releasing[run.lifetime] += run.charged;
     }
@@ -281,6 +303,10 @@
         candidate.free -= busy[node.lifetime];
         candidate.releasing = releasing[node.lifetime];
         candidate.reliability = trustOf(node, now);
+        candidate.acceptsProbe = now >= node.nextProbeAt;
+        if (candidate.reliability != NodeReliability::proven)
+            candidate.trialStarts
+                = m_settings.policy.trialStarts - std::min(m_settings.policy.trialStarts, trials[node.lifetime]);
         candidate.slowness = m_speeds.slownessOf(name);
         candidate.isBusy = busy[node.lifetime] != ResourceVector {};
         for (const auto& [key, unknownRun] : node.unknownRuns)
--- a/src/lycheespool/controller/controller_runs.cpp
+++ b/src/lycheespool/controller/controller_runs.cpp
@@ -179,12 +179,11 @@
             recordDuration(*job, key, it->second, now);
         const auto run = it->second;
         releaseRun(it);
+        if (end.kind != RunEndKind::failed)
+            recordWork(node, run, now.steady);
         if (end.kind == RunEndKind::done) {
             m_runsDone.add();
-            node.succeededAt = now.steady;
-            node.failedJobs.clear();
-            node.failuresInARow = 0;
-            node.suspectedUntil = {};
+            recordSuccess(node, run, now);
             if (!isEnded(job->progress.state))
                 markDone(*job, position, now);
         } else {
@@ -381,6 +380,8 @@
             releaseLostRuns(it, {}, "the node has not reported in this term");
     }
     for (auto& [key, run] : m_runs) {
+        if (const auto node = m_nodes.find(run.node); node != m_nodes.end())
+            recordWork(node->second, run, now.steady);
         stopStalled(key, run, now);
         moveFromDepartingNode(key, run, now);
     }
--- a/src/lycheespool/controller/controller_trust.cpp
+++ b/src/lycheespool/controller/controller_trust.cpp
@@ -31,7 +31,7 @@
 
 constexpr std::string_view reliabilityName(NodeReliability reliability)
 {
-    constexpr std::array<std::string_view, 3> names { "reliable", "failed_once", "suspected" };
+    constexpr std::array<std::string_view, 4> names { "proven", "reliable", "failed_once", "suspected" };
     return names[static_cast<std::size_t>(reliability)];
 }
 
@@ -48,7 +48,47 @@
         return NodeReliability::suspected;
     const bool isDoubtful
         = node.failuresInARow > 0 && now - node.failedAt < millisecondsOf(m_settings.policy.suspicionMs);
-    return isDoubtful ? NodeReliability::failedOnce : NodeReliability::reliable;
+    if (isDoubtful)
+        return NodeReliability::failedOnce;
+    const bool isProven = node.provenAt && *node.provenAt > node.failedAt
+        && now - *node.provenAt < millisecondsOf(m_settings.policy.provenMs);
+    return isProven ? NodeReliability::proven : NodeReliability::reliable;
+}
+
+/*! @brief Checks if a run has gone on for so long that its executor does not fail what it starts. */
+bool Controller::showsWork(const LiveRun& run, TimePoint now) const
+{
+    return run.phase == RunPhase::confirmed && now - run.confirmedAt >= millisecondsOf(m_settings.policy.trialMs);
+}
+
+/*! @brief Records that a run has worked on a node for the trial time. */
+void Controller::recordWork(ExecutorView& node, const LiveRun& run, TimePoint now)
+{
+    if (showsWork(run, now) && run.lifetime == node.lifetime)
+        node.provenAt = std::max(node.provenAt.value_or(run.confirmedAt), run.confirmedAt);
+}
+
+/*! @brief Ends the suspicion of a node. */
+void Controller::recordSuccess(ExecutorView& node, [[maybe_unused]] const LiveRun& run, const ClockReading& now)
+{
+    node.succeededAt = now.steady;
+    node.failedJobs.clear();
+    node.failuresInARow = 0;
+    node.suspectedUntil = {};
+    node.probeDelay = {};
+}
+
+/*! @brief Suspects a node; each probe that fails doubles the time until the next one. */
+void Controller::startSuspicion(ExecutorView& node, bool isFailedProbe, TimePoint now)
+{
+    const auto suspicion = millisecondsOf(m_settings.policy.suspicionMs);
+    if (isFailedProbe || node.probeDelay == Duration {}) {
+        const auto first = millisecondsOf(m_settings.policy.probeDelayMs);
+        node.probeDelay = std::min(suspicion, std::max(first, 2 * node.probeDelay));
+        node.nextProbeAt = now + node.probeDelay;
+    }
+    node.failedAt = now;
+    node.suspectedUntil = now + suspicion;
 }
 
 void Controller::recordFailure(
@@ -57,7 +97,7 @@
     m_runsFailed.add();
     if (run.plannedReliability == NodeReliability::suspected)
         m_runsFailedOnSuspects.add();
-    recordSuspicion(job, node, now);
+    recordSuspicion(job, run, node, now);
     const auto& position = key.task.position;
     const auto& step = job.row.request.steps[position.step];
     auto& round = job.round(position.occurrence, position.step);
@@ -65,6 +105,7 @@
     if (step.isGang && round.lastFailedRun == key.run)
         return;
     round.lastFailedRun = key.run;
+    round.failedAt[step.isGang ? 0 : position.index] = now.steady;
     ++task.failures;
     ++round.gangFailures;
     markChanged(job);
@@ -85,7 +126,7 @@
 }
 
 /*! @brief Suspects the node of a failure, or the job if it failed on several nodes that fail no other job. */
-void Controller::recordSuspicion(ManagedWorkload& job, ExecutorView& node, const ClockReading& now)
+void Controller::recordSuspicion(ManagedWorkload& job, const LiveRun& run, ExecutorView& node, const ClockReading& now)
 {
     node.failedJobs.insert(job.id);
     ++node.failuresInARow;
@@ -108,16 +149,18 @@
             m_nodes[it].failedJobs.clear();
             m_nodes[it].failuresInARow = 0;
             m_nodes[it].suspectedUntil = {};
+            m_nodes[it].probeDelay = {};
         }
         logEvent("job_suspected", { { "job", job.id }, { "failed_nodes", job.failedNodes.size() } });
         return;
     }
     if (node.failuresInARow < failuresToSuspect)
         return;
-    node.suspectedUntil = now.steady + millisecondsOf(m_settings.policy.suspicionMs);
+    startSuspicion(node, run.plannedReliability == NodeReliability::suspected, now.steady);
     logEvent("executor_suspected",
         { { "node", node.node }, { "executor", node.lifetime.executor }, { "job", job.id },
-            { "failed_jobs", node.failedJobs.size() } });
+            { "failed_jobs", node.failedJobs.size() },
+            { "next_probe_ms", millisecondsBetween(now.steady, node.nextProbeAt) } });
 }
 
 /*! @brief Records run times; the duration model gets only the first task of each step, so that wide steps do not
@@ -193,7 +236,7 @@
     if (!workingSince || now.steady - *workingSince < limit)
         return;
     m_runsStalled.add();
-    node->second.suspectedUntil = now.steady + millisecondsOf(m_settings.policy.suspicionMs);
+    startSuspicion(node->second, run.plannedReliability == NodeReliability::suspected, now.steady);
     job->failedNodes.insert(run.node);
     logEvent("run_stalled",
         { { "task", key.task.toString() }, { "run", key.run }, { "node", run.node }, { "percent", run.percent } });
--- a/src/lycheespool/controller/decision_policy.cpp
+++ b/src/lycheespool/controller/decision_policy.cpp
@@ -95,6 +95,24 @@
             toggle([](auto& it) -> auto& { return it.avoidsFailedNodes; }) },
         { "reliability", "protects_last_attempt", "the last attempt waits for executors without failures",
             toggle([](auto& it) -> auto& { return it.protectsLastAttempt; }) },
+        { "reliability", "trial_ms", "time after which a run that goes on shows that its executor works, ms",
+            number(
+                0, 60000, [](auto& it) -> auto& { return it.trialMs; }) },
+        { "reliability", "trial_starts", "tasks that may be in their trial time on an executor that is not proven",
+            number(
+                1, 1000000, [](auto& it) -> auto& { return it.trialStarts; }) },
+        { "reliability", "proven_ms", "time for which a run proves its executor, counted from its start, ms",
+            number(
+                0, 600000, [](auto& it) -> auto& { return it.provenMs; }) },
+        { "reliability", "probe_delay_ms", "delay before the first probe of a suspected executor, ms; doubles",
+            number(
+                0, 600000, [](auto& it) -> auto& { return it.probeDelayMs; }) },
+        { "reliability", "retry_delay_ms", "longest delay before a failed task starts again, ms",
+            number(
+                0, 60000, [](auto& it) -> auto& { return it.retry.delayMs; }) },
+        { "reliability", "proven_wait_ms", "longest wait of the last attempt for a proven executor, ms",
+            number(
+                0, 60000, [](auto& it) -> auto& { return it.retry.provenWaitMs; }) },
         { "runs", "min_stall_ms", "minimum time without progress until a task is restarted, ms",
             number(
                 100, 600000, [](auto& it) -> auto& { return it.minStallMs; }) },
--- a/src/lycheespool/controller/decision_policy.h
+++ b/src/lycheespool/controller/decision_policy.h
@@ -2,6 +2,7 @@
 
 #include "lycheespool/dispatch/placement_limits.h"
 #include "lycheespool/dispatch/preemption.h"
+#include "lycheespool/dispatch/retry_timing.h"
 
 #include <filesystem>
 #include <string>
@@ -30,6 +31,16 @@
     bool avoidsFailedNodes { true };
     /*! @brief The last attempt of a job waits for executors without recent failures. */
     bool protectsLastAttempt { true };
+    /*! @brief Time after which a run that goes on shows that its executor works, ms; executors that fail what they
+     * start do so within a tenth of it to a whole one. */
+    double trialMs { 300 };
+    /*! @brief Number of tasks that may be in their trial time on an executor that is not proven. */
+    std::size_t trialStarts { 2 };
+    /*! @brief Time for which such a run proves its executor, counted from its start, ms. */
+    double provenMs { 3000 };
+    /*! @brief Delay before the first probe of a suspected executor, ms; it doubles with each probe that fails. */
+    double probeDelayMs { 1000 };
+    RetryLimits retry;
     /*! @brief Minimum time without progress after which a task counts as stalled, ms; executors list their tasks every
      * 0.9 s. */
     double minStallMs { 1800 };
--- a/src/lycheespool/controller/executor_view.h
+++ b/src/lycheespool/controller/executor_view.h
@@ -57,6 +57,12 @@
     TimePoint failedAt {};
     /*! @brief When the latest run that ended as done was reported; nothing if none was in this term. */
     std::optional<TimePoint> succeededAt;
+    /*! @brief Start of the newest run that worked for the trial time; nothing if none did in this term. */
+    std::optional<TimePoint> provenAt;
+    /*! @brief Earliest time of the next probe while the executor is suspected. */
+    TimePoint nextProbeAt {};
+    /*! @brief Delay before the next probe; zero before the executor is suspected. */
+    Duration probeDelay {};
     TimePoint suspectedUntil {};
 };
 
--- a/src/lycheespool/controller/managed_workload.h
+++ b/src/lycheespool/controller/managed_workload.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include "lycheespool/core/clock.h"
 #include "lycheespool/dispatch/node_speeds.h"
 #include "lycheespool/workload/job_progress.h"
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -23,6 +25,8 @@
     std::uint32_t gangFailures { 0 };
     /*! @brief Run number of the last counted failure of the gang. */
     std::uint64_t lastFailedRun { 0 };
+    /*! @brief When the latest failed run of a task was reported, by index; the whole gang has one entry, 0. */
+    std::map<std::uint32_t, TimePoint> failedAt;
     /*! @brief Uninterrupted completed runs; passed to the node speeds when the step is complete. */
     std::vector<NodeRun> runs;
     /*! @brief Unix time since which the step has been ready and has lacked only capacity, ms; nothing while not ready.
--- a/src/lycheespool/dispatch/fwd.h
+++ b/src/lycheespool/dispatch/fwd.h
@@ -15,6 +15,8 @@
 struct PreemptionInput;
 struct PreemptionLimits;
 struct PreemptionRule;
+struct RetryLimits;
+struct RetryTiming;
 struct StartPlan;
 struct StartRequest;
 
--- a/src/lycheespool/dispatch/node_capacity.h
+++ b/src/lycheespool/dispatch/node_capacity.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <string>
 #include <vector>
 
@@ -22,8 +23,11 @@
     double unsavedCoreSeconds { 0 };
 };
 
-/*! @brief Reliability of an executor, judged by its recent failures; ordered from best to worst. */
+/*! @brief Reliability of an executor, judged by its recent runs; ordered from best to worst. */
 enum class NodeReliability : std::uint8_t {
+    /*! @brief A run that started there a moment ago works or has ended as done, and none has failed since. */
+    proven,
+    /*! @brief No failure is known; the executor may have begun to fail since its last start. */
     reliable,
     /*! @brief Failed once since its last success; reliable executors do so occasionally. */
     failedOnce,
@@ -47,6 +51,10 @@
     double slowness { 0 };
     /*! @brief At least one task runs on the executor. */
     bool isBusy { false };
+    /*! @brief While the executor is suspected: it may get a task that shows whether it has recovered. */
+    bool acceptsProbe { true };
+    /*! @brief Number of tasks that may start before earlier starts have shown that the executor works. */
+    std::size_t trialStarts { std::numeric_limits<std::size_t>::max() };
     std::vector<EvictableRun> evictable;
 };
 
--- a/src/lycheespool/dispatch/start_planner.cpp
+++ b/src/lycheespool/dispatch/start_planner.cpp
@@ -42,8 +42,10 @@
             reserve(request);
             continue;
         }
+        // Tasks beyond the trials keep their capacity and start in a later plan.
         allocate(request, places);
-        plan.starts.push_back({ i, std::move(places) });
+        if (auto starts = withinTrials(request, places); !starts.empty())
+            plan.starts.push_back({ i, std::move(starts) });
     }
     return plan;
 }
@@ -70,8 +72,10 @@
         available += it.releasing;
     auto copies = std::min<std::int64_t>(request.perTask.copiesIn(available), request.tasks);
     // A single task shows whether a suspected executor has recovered.
-    if (it.reliability == NodeReliability::suspected && !request.isGang && !scope.whenEmpty)
-        copies = it.isBusy ? 0 : std::min<std::int64_t>(copies, 1);
+    if (it.reliability == NodeReliability::suspected && !request.isGang && !scope.whenEmpty) {
+        const bool mayProbe = !it.isBusy && (it.acceptsProbe || request.hasStartBound);
+        copies = mayProbe ? std::min<std::int64_t>(copies, 1) : 0;
+    }
     if (request.maxPerNode > 0) {
         const auto running = request.tasksOn.find(it.node);
         const std::int64_t present = running == request.tasksOn.end() ? 0 : running->second;
@@ -192,6 +196,8 @@
     const auto couldHold = [&](NodeReliability reliability) {
         return copiesIn(request, { .reliability = reliability, .whenEmpty = true }) >= needed;
     };
+    if (request.isLastAttempt && !request.acceptsUnproven && couldHold(NodeReliability::proven))
+        return { .reliability = NodeReliability::proven };
     if (request.isLastAttempt && couldHold(NodeReliability::reliable))
         return { .reliability = NodeReliability::reliable };
     return couldHold(NodeReliability::failedOnce) ? Scope {} : any;
@@ -202,7 +208,10 @@
 {
     const auto eligible = eligibleScope(request);
     Places places;
-    if (request.isGang || request.prefersReliable)
+    if (request.prefersReliable)
+        places = find(request, { .reliability = NodeReliability::proven });
+    if (places.empty() && (request.isGang || request.prefersReliable)
+        && eligible.reliability >= NodeReliability::reliable)
         places = find(request, { .reliability = NodeReliability::reliable });
     if (places.empty() && eligible.reliability >= NodeReliability::failedOnce)
         places = find(request, {});
@@ -219,6 +228,19 @@
     }
 }
 
+/*! @brief Limits the starts on each executor to its trials, so that one that has begun to fail fails few tasks. */
+StartPlanner::Places StartPlanner::withinTrials(const StartRequest& request, const Places& places)
+{
+    if (request.isGang || request.hasStartBound)
+        return places;
+    Places starts;
+    std::ranges::copy_if(places, std::back_inserter(starts), [this](std::size_t it) {
+        auto& trials = m_nodes[it].trialStarts;
+        return trials > 0 && trials-- > 0;
+    });
+    return starts;
+}
+
 /*! @brief Reserves the executors that a request waits for, so that later requests cannot use them. */
 void StartPlanner::reserve(const StartRequest& request)
 {
--- a/src/lycheespool/dispatch/start_planner.h
+++ b/src/lycheespool/dispatch/start_planner.h
@@ -81,6 +81,7 @@
     [[nodiscard]] Places findMostReliable(const StartRequest& request) const;
     [[nodiscard]] std::set<std::string> racks() const;
     void allocate(const StartRequest& request, const Places& places);
+    [[nodiscard]] Places withinTrials(const StartRequest& request, const Places& places);
     void reserve(const StartRequest& request);
     [[nodiscard]] bool tryEvictFor(const StartRequest& request, StartPlan& plan);
     [[nodiscard]] std::optional<EvictionChoice> evictionsOn(
--- a/src/lycheespool/dispatch/start_request.h
+++ b/src/lycheespool/dispatch/start_request.h
@@ -37,6 +37,8 @@
     bool hasStartBound { false };
     /*! @brief Another failure fails the job. */
     bool isLastAttempt { false };
+    /*! @brief A last attempt may start on an executor that is not proven, instead of waiting longer. */
+    bool acceptsUnproven { true };
     /*! @brief Weight of speed against tight packing, in shares of an executor per unit of slowness; negative prefers
      * slow executors. */
     double speedWeight { 0 };
--- a/test/lycheespool/dispatch/start_planner.cpp
+++ b/test/lycheespool/dispatch/start_planner.cpp
@@ -106,6 +106,51 @@
     CHECK(planOne(cluster, tasks(8, 1)).starts.empty());
 }
 
+// Guards against probes that follow each other as fast as they fail, each of which uses up an attempt of a task.
+TEST_CASE("a suspected executor gets no task before its next probe is due")
+{
+    auto cluster = nodes(1);
+    cluster[0].reliability = NodeReliability::suspected;
+    cluster[0].acceptsProbe = false;
+    CHECK(planOne(cluster, tasks(8, 1)).starts.empty());
+    cluster[0].acceptsProbe = true;
+    CHECK(planOne(cluster, tasks(8, 1)).starts.at(0).nodes.size() == 1);
+}
+
+// Guards against an executor that has begun to fail and fails all tasks that fit on it at once.
+TEST_CASE("an executor that is not proven gets only its trial starts, and keeps its capacity for the other tasks")
+{
+    auto cluster = nodes(2);
+    cluster[0].trialStarts = 2;
+    cluster[1].trialStarts = 2;
+    const std::vector<StartRequest> requests { tasks(8, 1), tasks(8, 1) };
+    const auto plan = StartPlanner { cluster }.plan(requests);
+    REQUIRE(plan.starts.size() == 2);
+    CHECK(plan.starts[0].nodes == std::vector<std::size_t> { 0, 0 });
+    CHECK(plan.starts[1].nodes == std::vector<std::size_t> { 1, 1 });
+    CHECK(planOne(cluster, tasks(8, 1, true)).starts.at(0).nodes.size() == 8);
+    auto urgent = tasks(8, 1);
+    urgent.hasStartBound = true;
+    CHECK(planOne(cluster, urgent).starts.at(0).nodes.size() == 8);
+}
+
+// Guards against a retry on an executor that has begun to fail and has not been tried since.
+TEST_CASE("work that failed before prefers proven executors, and its last attempt waits for them")
+{
+    auto cluster = nodes(2);
+    cluster[1].reliability = NodeReliability::proven;
+    auto request = tasks(1, 8);
+    request.prefersReliable = true;
+    CHECK(planOne(cluster, request).starts.at(0).nodes.at(0) == 1);
+    cluster[1].free.accelerators = 0;
+    CHECK(planOne(cluster, request).starts.at(0).nodes.at(0) == 0);
+    request.isLastAttempt = true;
+    request.acceptsUnproven = false;
+    CHECK(planOne(cluster, request).starts.empty());
+    request.acceptsUnproven = true;
+    CHECK(planOne(cluster, request).starts.at(0).nodes.at(0) == 0);
+}
+
 // Guards against using up attempts on failing executors, where the failure of one member fails a whole gang.
 TEST_CASE("gangs and work that failed before wait for reliable executors, unless those could never hold them")
 {
