Keep an executor's failures when an older run on it succeeds

An executor that begins to fail what it starts still completes what it runs. Only a run that started after the latest failure clears it now. The new test fails without the condition (0 == 1).

--- a/src/lycheespool/controller/controller_trust.cpp
+++ b/src/lycheespool/controller/controller_trust.cpp
@@ -68,10 +68,12 @@
         node.provenAt = std::max(node.provenAt.value_or(run.confirmedAt), run.confirmedAt);
 }
 
-/*! @brief Ends the suspicion of a node. */
-void Controller::recordSuccess(ExecutorView& node, [[maybe_unused]] const LiveRun& run, const ClockReading& now)
+/*! @brief Ends the suspicion of a node, unless the run that succeeded is older than the latest failure. */
+void Controller::recordSuccess(ExecutorView& node, const LiveRun& run, const ClockReading& now)
 {
     node.succeededAt = now.steady;
+    if (run.confirmedAt <= node.failedAt)
+        return;
     node.failedJobs.clear();
     node.failuresInARow = 0;
     node.suspectedUntil = {};
--- a/test/lycheespool/controller/controller.cpp
+++ b/test/lycheespool/controller/controller.cpp
@@ -448,6 +448,29 @@
     CHECK(executors.state() == WorkloadState::completed);
 }
 
+// Guards against an executor that fails what it starts and is trusted again since an older run on it ends as done.
+TEST_CASE("a run that started before a failure does not clear its executor")
+{
+    Fixture f;
+    f.controller.addJob("job", Fixture::job(3), {}, 0, Fixture::at(0).steady);
+    f.receive(f.report(10), 10);
+    (void)f.controller.plan(Fixture::at(10));
+    f.storeAll();
+    const auto orders = f.controller.takeOrders(Fixture::at(10)).at("node-0").orders;
+    for (const auto& it : orders)
+        f.controller.onOutcome(
+            "node-0", f.report(10).lifetime, { it.task, it.run, RunOrderResult::started, {}, 11 }, Fixture::at(11));
+    auto report = f.report(100);
+    report.ended = { { 1, "job.0.0.0", 1, RunEndKind::failed, {} } };
+    report.running = { { "job.0.0.1", 1, {}, 10 } };
+    f.receive(report, 100);
+    CHECK(f.controller.nodes().at("node-0").failuresInARow == 1);
+    report = f.report(200);
+    report.ended = { { 2, "job.0.0.1", 1, RunEndKind::done, {} } };
+    f.receive(report, 200);
+    CHECK(f.controller.nodes().at("node-0").failuresInARow == 1);
+}
+
 // Guards against a gang that is spread over racks at once, three times as slow, because the time of its lost run
 // counted as waiting for a rack.
 TEST_CASE("a gang that lost its run waits for a rack again before it is spread")
