Give up tasks that crash the executors that start them

Cause: a run that is lost with its executor was repeated without any limit; nothing counted it. Change: the progress row counts, for each task, the executors that crashed as only its job was starting there, and the runs that were lost before a list showed them at work. Two such crashes or five such losses end the job as failed. The count is stored with the next placement, before its start is ordered, so a change of the leader loses none. Each run of a gang counts once. The new tests count the starts.

--- a/src/lycheespool/controller/controller.h
+++ b/src/lycheespool/controller/controller.h
@@ -5,6 +5,7 @@
 #include "lycheespool/controller/executor_view.h"
 #include "lycheespool/controller/managed_workload.h"
 #include "lycheespool/core/metrics.h"
+#include "lycheespool/dispatch/crash_limits.h"
 #include "lycheespool/dispatch/duration_model.h"
 #include "lycheespool/dispatch/node_capacity.h"
 #include "lycheespool/dispatch/node_speeds.h"
@@ -228,7 +229,12 @@
     void stopRun(const RunKey& key, const std::string& reason);
     void stopGangOf(ManagedWorkload& job, const TaskPosition& position, std::uint64_t run, const std::string& reason);
     void recordCheckpoint(ManagedWorkload& job, const RunKey& key, const std::string& checkpoint);
-    void releaseLostRuns(const std::string& node, const Lifetime& lifetime, const std::string& reason);
+    void releaseLostRuns(const std::string& node, const Lifetime& present, const std::string& reason,
+        const ClockReading& now, const NodeReport* report = nullptr);
+    [[nodiscard]] static bool hasJustStarted(const LiveRun& run, const NodeReport* report);
+    [[nodiscard]] CrashCounts crashCountsOf(const ManagedWorkload& job, const TaskPosition& position) const;
+    void recordLoss(
+        ManagedWorkload& job, const RunKey& key, bool causedCrash, const std::string& node, const ClockReading& now);
     void processRunningTasks(ExecutorView& node, const NodeReport& report, const ClockReading& now);
     void releaseUnlistedRuns(ExecutorView& node, const NodeReport& report);
     void recordDuration(ManagedWorkload& job, const RunKey& key, const LiveRun& run, const ClockReading& now);
@@ -278,6 +284,7 @@
     Counter& m_runsFailed;
     Counter& m_runsFailedOnSuspects;
     Counter& m_runsLost;
+    Counter& m_crashesAttributed;
     Counter& m_runsEvicted;
     Counter& m_runsStalled;
     Counter& m_runsMoved;
--- a/src/lycheespool/controller/controller_runs.cpp
+++ b/src/lycheespool/controller/controller_runs.cpp
@@ -15,6 +15,7 @@
 
 // Maximum number of ends in one list from an executor; a full list may omit later ends.
 constexpr std::size_t endsPerList = 500;
+constexpr auto startWindowMs = static_cast<std::uint64_t>(CrashLimits::startWindow.count());
 
 constexpr std::string_view endName(RunEndKind kind)
 {
@@ -39,7 +40,7 @@
     if (node.node.empty())
         node.node = report.node;
     if (report.lifetime.isKnown() && report.lifetime != node.lifetime) {
-        releaseLostRuns(report.node, report.lifetime, "the node reports a new lifetime of its executor");
+        releaseLostRuns(report.node, report.lifetime, "the node reports a new lifetime of its executor", now, &report);
         const auto permitsExpireAt = node.permitsExpireAt;
         node = ExecutorView {};
         node.node = report.node;
@@ -74,7 +75,7 @@
     if (report.state == ExecutorState::departed || report.state == ExecutorState::absent) {
         // A departed executor ends at once, and all its runs end with it.
         if (report.state == ExecutorState::departed)
-            releaseLostRuns(report.node, {}, "the executor departed");
+            releaseLostRuns(report.node, {}, "the executor departed", now);
         return;
     }
     if (report.listedAtMs == 0 || isOutdated)
@@ -110,6 +111,7 @@
             run.confirmedAt = now.steady;
             run.answeredAtMs = report.listedAtMs;
         }
+        run.lastListedMs = report.listedAtMs;
         if (it.percent != run.percent || run.percentListedMs == 0) {
             run.percent = it.percent;
             run.percentListedMs = report.listedAtMs;
@@ -272,26 +274,100 @@
 }
 
 /*! @brief Releases all runs of a node that belong to another executor lifetime than the present one. */
-void Controller::releaseLostRuns(const std::string& node, const Lifetime& present, const std::string& reason)
+void Controller::releaseLostRuns(const std::string& node, const Lifetime& present, const std::string& reason,
+    const ClockReading& now, const NodeReport* report)
 {
     std::vector<RunKey> lost;
+    std::set<std::string> startingJobs;
     for (const auto& [key, run] : m_runs) {
-        if (run.node == node && run.lifetime != present)
-            lost.push_back(key);
+        if (run.node != node || run.lifetime == present)
+            continue;
+        lost.push_back(key);
+        if (hasJustStarted(run, report))
+            startingJobs.insert(key.task.job);
     }
+    const auto state = m_nodes[node].state;
+    const bool isPlanned = state == ExecutorState::draining || state == ExecutorState::departed;
     for (const auto& key : lost) {
         const auto it = m_runs.find(key);
         m_runsLost.add();
+        // A run that was listed after its start window has not crashed its executor by starting.
+        const bool isSuspicious = it->second.phase != RunPhase::planned
+            && (it->second.phase == RunPhase::ordered
+                || it->second.lastListedMs < it->second.answeredAtMs + startWindowMs);
+        const bool causedCrash = startingJobs.size() == 1 && hasJustStarted(it->second, report);
         logEvent("run_lost",
             { { "task", key.task.toString() }, { "run", key.run }, { "node", node },
-                { "executor", it->second.lifetime.executor }, { "reason", reason } });
+                { "executor", it->second.lifetime.executor }, { "reason", reason }, { "caused_crash", causedCrash },
+                { "jobs_starting", startingJobs.size() } });
         releaseRun(it);
         auto* const job = findJob(key.task.job);
-        if (job && job->row.request.steps[key.task.position.step].isGang)
+        if (!job)
+            continue;
+        if (isSuspicious && !isPlanned)
+            recordLoss(*job, key, causedCrash, node, now);
+        if (job->row.request.steps[key.task.position.step].isGang)
             stopGangOf(*job, key.task.position, key.run, "a member of the gang was lost");
     }
 }
 
+/*! @brief Checks if a run was starting when its executor crashed, as its agent witnessed. */
+bool Controller::hasJustStarted(const LiveRun& run, const NodeReport* report)
+{
+    // The start of a run of an earlier term is unknown.
+    const bool isOfThisTerm = run.plannedRevision > 0;
+    if (!report || !isOfThisTerm || run.phase == RunPhase::planned || run.lifetime != report->previousLifetime)
+        return false;
+    return run.phase == RunPhase::ordered || report->previousLostAtMs <= run.answeredAtMs + startWindowMs;
+}
+
+/*! @brief Counts the executors that were lost under a task, or under all members of its gang. */
+CrashCounts Controller::crashCountsOf(const ManagedWorkload& job, const TaskPosition& position) const
+{
+    const auto& step = job.row.request.steps[position.step];
+    CrashCounts counts;
+    const auto add = [&](std::uint32_t index) {
+        const auto& task = job.progress.at({ position.occurrence, position.step, index });
+        counts.crashes += task.crashes;
+        counts.losses += task.losses;
+    };
+    if (!step.isGang)
+        add(position.index);
+    for (std::uint32_t i = 0; step.isGang && i < step.tasks; ++i)
+        add(i);
+    return counts;
+}
+
+/*! @brief Counts the loss of a run and gives its job up when its limit is reached. */
+void Controller::recordLoss(
+    ManagedWorkload& job, const RunKey& key, bool causedCrash, const std::string& node, const ClockReading& now)
+{
+    const auto& position = key.task.position;
+    const auto& step = job.row.request.steps[position.step];
+    auto& round = job.round(position.occurrence, position.step);
+    if (step.isService || isEnded(job.progress.state))
+        return;
+    // A power failure may take all members of a gang with it; each of its runs counts once.
+    const bool isNewLoss = !step.isGang || std::exchange(round.lastLostRun, key.run) != key.run;
+    const bool isNewCrash = causedCrash && (!step.isGang || std::exchange(round.lastCrashRun, key.run) != key.run);
+    if (!isNewLoss && !isNewCrash)
+        return;
+    auto& task = job.progress.at(position);
+    task.losses += isNewLoss;
+    if (isNewCrash) {
+        ++task.crashes;
+        m_crashesAttributed.add();
+        job.failedNodes.insert(node);
+    }
+    markChanged(job);
+    const auto counts = crashCountsOf(job, position);
+    logEvent("loss_counted",
+        { { "task", key.task.toString() }, { "run", key.run }, { "node", node }, { "crashes", counts.crashes },
+            { "losses", counts.losses }, { "epoch", m_epoch.value() } });
+    if (isCrashLimitReached(counts))
+        endJob(job, WorkloadState::failed, "executors crashed under task " + key.task.toString(), now);
+}
+
 void Controller::grantPermit(const std::string& node, TimePoint now)
 {
     m_nodes[node].permitsExpireAt = now + m_settings.permitExpiryBound();
@@ -365,7 +441,7 @@
                     { "agent_silent_ms",
                         std::chrono::duration_cast<std::chrono::milliseconds>(now.steady - node.lastReportAt).count() },
                     { "lists_age_ms", node.newestReportMs - node.listedAtMs } });
-            releaseLostRuns(name, {}, "the permits of the node expired");
+            releaseLostRuns(name, {}, "the permits of the node expired", now);
         }
     }
     // Nodes that have not reported in this term may still hold permits of the previous leader.
@@ -377,7 +453,7 @@
                 unreportedNodes.insert(run.node);
         }
         for (const auto& it : unreportedNodes)
-            releaseLostRuns(it, {}, "the node has not reported in this term");
+            releaseLostRuns(it, {}, "the node has not reported in this term", now);
     }
     for (auto& [key, run] : m_runs) {
         if (const auto node = m_nodes.find(run.node); node != m_nodes.end())
--- a/src/lycheespool/controller/live_run.h
+++ b/src/lycheespool/controller/live_run.h
@@ -52,6 +52,8 @@
     std::uint32_t percent { 0 };
     /*! @brief Agent's clock of the first list that showed the percent, ms; 0 before the first list. */
     std::uint64_t percentListedMs { 0 };
+    /*! @brief Agent's clock of the latest list that showed the run, ms; 0 before the first list. */
+    std::uint64_t lastListedMs { 0 };
     std::string checkpoint;
     /*! @brief The run resumed from a checkpoint or started under another leader, so its measured time is not the run
      * time of the task. */
--- a/src/lycheespool/dispatch/fwd.h
+++ b/src/lycheespool/dispatch/fwd.h
@@ -8,6 +8,8 @@
 
 struct DurationForecast;
 struct EvictableRun;
+struct CrashCounts;
+struct CrashLimits;
 struct DepartingRun;
 struct NodeCapacity;
 struct NodeRun;
--- a/src/lycheespool/nodeagent/node_agent.h
+++ b/src/lycheespool/nodeagent/node_agent.h
@@ -112,6 +112,10 @@
         }
         const bool isNew = announcement.lifetime != known.lifetime;
         const bool isChanged = isNew || announcement.state != known.state;
+        if (isNew && known.lifetime.isKnown() && known.state == ExecutorState::ready) {
+            m_previousLifetime = known.lifetime;
+            m_previousLostAtMs = m_unreachableAtMs > 0 ? m_unreachableAtMs : clockMs(BootClock {}.now());
+        }
         known = announcement;
         m_announcedAt = BootClock {}.now();
         if (isNew)
@@ -167,6 +171,7 @@
     void resetLists()
     {
         m_leaseClock.reset();
+        m_unreachableAtMs = 0;
         m_running.clear();
         m_ended.clear();
         m_listedAtMs = 0;
@@ -241,6 +246,8 @@
         report.running = m_running;
         report.ended = m_ended;
         report.extendsLease = m_leaseClock.isExtending();
+        report.previousLifetime = m_previousLifetime;
+        report.previousLostAtMs = m_previousLostAtMs;
         const auto lifetime = report.lifetime;
         m_reports.add();
         std::optional<NodeReportReply> reply;
@@ -307,6 +314,7 @@
         if (result.kind != ExecutorAnswerKind::accepted || isOther) {
             if (m_leaseClock.isExtending()) {
                 m_leaseClock.setResponding(false);
+                m_unreachableAtMs = clockMs(BootClock {}.now());
                 logEvent("executor_unreachable",
                     { { "executor", lifetime.executor }, { "kind", static_cast<int>(result.kind) },
                         { "reason", result.reason } });
@@ -315,6 +323,7 @@
         }
         if (!m_leaseClock.isExtending()) {
             m_leaseClock.setResponding(true);
+            m_unreachableAtMs = 0;
             m_reportDue.wake();
             logEvent("executor_reachable_again", { { "executor", lifetime.executor } });
         }
@@ -488,6 +497,10 @@
     LeaseClock m_leaseClock;
     ExecutorAnnouncement m_executorState;
     TimePoint m_announcedAt {};
+    Lifetime m_previousLifetime;
+    std::uint64_t m_previousLostAtMs { 0 };
+    /*! @brief When the executor stopped answering, ms; 0 while it answers. */
+    std::uint64_t m_unreachableAtMs { 0 };
     Epoch m_epoch;
     std::vector<RunningTask> m_running;
     std::vector<RunEnd> m_ended;
--- a/src/lycheespool/wire/node_messages.h
+++ b/src/lycheespool/wire/node_messages.h
@@ -79,8 +79,12 @@
     std::vector<RunEnd> ended;
     /*! @brief False while the executor does not answer the agent, which then extends no lease. */
     bool extendsLease { true };
+    /*! @brief Lifetime that this agent process knew before the present one and that ended without a departure. */
+    Lifetime previousLifetime;
+    /*! @brief Agent's clock when that lifetime stopped answering, ms. */
+    std::uint64_t previousLostAtMs { 0 };
     MSGPACK_DEFINE(node, zone, state, lifetime, service, labels, capacity, remainingMs, sentAtMs, listedAtMs, running,
-        ended, extendsLease)
+        ended, extendsLease, previousLifetime, previousLostAtMs)
 };
 
 /*! @brief Answer to NodeReport. */
--- a/src/lycheespool/workload/job_progress.h
+++ b/src/lycheespool/workload/job_progress.h
@@ -40,7 +40,11 @@
     std::uint64_t lastRun { 0 };
     std::string checkpoint;
     std::vector<RunPlacement> placements;
-    MSGPACK_DEFINE(done, failures, lastRun, checkpoint, placements)
+    /*! @brief Executors that crashed as a run of the task started on them, and no run of another job did. */
+    std::uint32_t crashes { 0 };
+    /*! @brief Runs that were lost with their executors before they were seen at work. */
+    std::uint32_t losses { 0 };
+    MSGPACK_DEFINE(done, failures, lastRun, checkpoint, placements, crashes, losses)
 };
 
 /*! @brief Header of a progress row, for readers that need only the state. */
--- a/test/lycheespool/controller/controller.cpp
+++ b/test/lycheespool/controller/controller.cpp
@@ -471,6 +471,140 @@
     CHECK(f.controller.nodes().at("node-0").failuresInARow == 1);
 }
 
+/*! @brief Starts a job's task again and again on executors that crash 20 ms after they start it. */
+class CrashingTask {
+public:
+    /*! @brief Whether the agent sees the crash, or is restarted together with its executor. */
+    enum class Witness { agent, none };
+
+    explicit CrashingTask(JobRow row, std::int64_t ranMs = 20)
+        : m_row { std::move(row) }
+        , m_ranMs { ranMs }
+    {
+        m_fixture.controller.addJob("job", m_row, {}, 0, {});
+    }
+
+    /*! @brief Repeats start and crash; returns the number of starts. */
+    int play(int rounds, Witness witness, bool changesLeader)
+    {
+        int starts = 0;
+        auto* controller = &m_fixture.controller;
+        std::optional<Controller> successor;
+        for (int i = 0; i < rounds; ++i) {
+            const std::int64_t ms = 1000 + i * 4000;
+            const auto node = "node-" + std::to_string(i % 3);
+            auto report = m_fixture.report(ms, node);
+            report.lifetime.startedUnixMs = i + 1;
+            controller->onReport(report, Fixture::at(ms));
+            (void)controller->plan(Fixture::at(ms));
+            store(*controller);
+            const auto orders = controller->takeOrders(Fixture::at(ms));
+            if (!orders.contains(node))
+                continue;
+            ++starts;
+            const auto& order = orders.at(node).orders.at(0);
+            controller->onOutcome(node, report.lifetime,
+                { order.task, order.run, RunOrderResult::started, {}, static_cast<std::uint64_t>(ms) },
+                Fixture::at(ms));
+            if (changesLeader) {
+                successor.emplace(ControllerSettings {}, Epoch { 2U + static_cast<unsigned>(i) },
+                    Fixture::at(ms + 100).steady, m_fixture.metrics);
+                successor->setConfig(std::make_shared<const OperatorConfig>());
+                successor->addJob("job", m_row, m_stored, ++m_fixture.version, Fixture::at(ms + 100).steady);
+                controller = &*successor;
+            }
+            if (m_ranMs > 1000) {
+                report.sentAtMs = report.listedAtMs = static_cast<std::uint64_t>(ms + 1000);
+                report.running = { { order.task, order.run, {}, 10 } };
+                controller->onReport(report, Fixture::at(ms + 1000));
+            }
+            auto crashed = m_fixture.report(ms + 3000, node);
+            crashed.lifetime.startedUnixMs = 1000 + i;
+            if (witness == Witness::agent) {
+                crashed.previousLifetime = report.lifetime;
+                crashed.previousLostAtMs = static_cast<std::uint64_t>(ms + m_ranMs);
+            }
+            controller->onReport(crashed, Fixture::at(ms + 3000));
+            // The node takes no part in the next round.
+            crashed.state = ExecutorState::draining;
+            controller->onReport(crashed, Fixture::at(ms + 3001));
+            store(*controller);
+            m_state = controller->jobs().at("job").progress.state;
+        }
+        return starts;
+    }
+
+    [[nodiscard]] WorkloadState state() const { return m_state; }
+
+private:
+    void store(Controller& controller)
+    {
+        for (const auto& it : controller.pendingWrites(100)) {
+            m_stored = it.value;
+            controller.markStored(it, ++m_fixture.version);
+        }
+    }
+
+    Fixture m_fixture;
+    JobRow m_row;
+    std::int64_t m_ranMs;
+    std::string m_stored;
+    WorkloadState m_state { WorkloadState::pending };
+};
+
+// Guards against a task that takes one executor after another out of service.
+TEST_CASE("a task that crashes the executors that start it is given up after two crashes")
+{
+    for (const bool isGang : { false, true }) {
+        CAPTURE(isGang);
+        CrashingTask task { Fixture::job(1, isGang) };
+        CHECK(task.play(8, CrashingTask::Witness::agent, false) == 2);
+        CHECK(task.state() == WorkloadState::failed);
+    }
+}
+
+// Guards against a count of crashes that ends with the leader or that needs a witness.
+TEST_CASE("a task that crashes executors is started at most twice more after three crashes, whoever leads")
+{
+    for (const auto witness : { CrashingTask::Witness::agent, CrashingTask::Witness::none }) {
+        CrashingTask task { Fixture::job() };
+        CHECK(task.play(8, witness, true) <= 5);
+        CHECK(task.state() == WorkloadState::failed);
+    }
+}
+
+// Guards against giving up work that was merely running when its executors crashed.
+TEST_CASE("a task that ran for long before its executors crashed is repeated")
+{
+    CrashingTask task { Fixture::job(), 2000 };
+    CHECK(task.play(8, CrashingTask::Witness::agent, false) == 8);
+    CHECK(task.state() == WorkloadState::running);
+}
+
+// Guards against counting a power failure once for each member of a gang.
+TEST_CASE("a gang that loses all members at once loses one run")
+{
+    Fixture f;
+    auto row = Fixture::job(6, true);
+    row.request.steps[0].perTask = { 1000, 1000, 8 };
+    f.controller.addJob("job", row, {}, 0, Fixture::at(0).steady);
+    std::vector<std::string> nodes;
+    for (int i = 0; i < 6; ++i)
+        nodes.push_back("node-" + std::to_string(i));
+    for (const auto& it : nodes)
+        f.receive(f.report(10, it), 10);
+    (void)f.controller.plan(Fixture::at(10));
+    f.storeAll();
+    CHECK(f.controller.takeOrders(Fixture::at(10)).size() == 6);
+    for (const auto& it : nodes) {
+        auto report = f.report(3000, it);
+        report.lifetime.startedUnixMs = 2;
+        f.receive(report, 3000);
+    }
+    CHECK(f.controller.jobs().at("job").progress.state == WorkloadState::running);
+    CHECK(f.controller.jobs().at("job").progress.at({ 0, 0, 0 }).losses == 1);
+}
+
 // Guards against a gang that is spread over racks at once, three times as slow, because the time of its lost run
 // counted as waiting for a rack.
 TEST_CASE("a gang that lost its run waits for a rack again before it is spread")
