Refuse odd entries of other writers before they end a process or outrank later ones

Operators of like systems saw machines end again and again, or stop following, after one odd entry: deeply nested, a number too large, a port out of range. What could happen here: - A job body was copied step by step, and a copy of a JSON value is recursive, so a deeply nested one could exhaust the stack of a gateway. The leader checks rows as entries check requests, and refuses unknown states of progress rows. Ports out of range were refused already (parseAddress; the lease row's reader falls back to its seeds). Not looked at: a lease row that cannot be decoded. The new tests run 500,000 levels, numbers up to 1e999 and rows that no entry wrote.

--- a/src/lycheespool/controller/controller.h
+++ b/src/lycheespool/controller/controller.h
@@ -64,7 +64,7 @@
      * @param rowVersion Version of the progress row, 0 when there is none yet.
      * @param now Present time.
      * @param jobRowVersion Version of the row that stores the accepted job.
-     * @throws Error of kind malformedFrame when the progress row cannot be decoded.
+     * @throws Error of kind malformedFrame when the progress row cannot be decoded or the job is not valid.
      */
     void addJob(const std::string& id, JobRow row, std::string_view progress, std::uint64_t rowVersion, TimePoint now,
         std::uint64_t jobRowVersion = 0);
--- a/src/lycheespool/controller/controller_jobs.cpp
+++ b/src/lycheespool/controller/controller_jobs.cpp
@@ -1,6 +1,7 @@
 // Job lifecycle in Controller: submission, cancellation, completion and storage.
 #include "lycheespool/controller/controller.h"
 
+#include "lycheespool/core/error.h"
 #include "lycheespool/core/event_log.h"
 
 #include <nlohmann/json.hpp>
@@ -57,6 +58,9 @@
 {
     if (m_jobs.contains(id))
         return;
+    // A row that no entry wrote may name steps or tasks that do not exist.
+    if (const auto fault = findValidationError(row.request))
+        throw Error { ErrorKind::malformedFrame, "the job row is not valid: " + *fault, "remove the row" };
     ManagedWorkload job;
     job.id = id;
     job.progress = progress.empty() ? JobProgress { row.request } : JobProgress::decode(row.request, progress);
--- a/src/lycheespool/nodeagent/node_agent.h
+++ b/src/lycheespool/nodeagent/node_agent.h
@@ -55,6 +55,8 @@
     static constexpr Duration maxDecisionAge = std::chrono::milliseconds { 2500 };
     /*! @brief Time after which the attempts to execute one order end. */
     static constexpr Duration orderTimeout = std::chrono::milliseconds { 1500 };
+    /*! @brief Largest difference between the wall clocks of a VM and its executor. */
+    static constexpr std::chrono::hours maxClockDifference { 1 };
     /*! @brief Delay before the first retry of a call; it doubles with each attempt. */
     static constexpr Duration orderRetryDelay = std::chrono::milliseconds { 100 };
 
@@ -103,6 +105,13 @@
     void onAnnouncement(const ExecutorAnnouncement& announcement)
     {
         auto& known = m_executorState;
+        // A start in the future would make all later announcements look outdated.
+        const auto latestStart = unixMillis() + std::chrono::milliseconds { maxClockDifference }.count();
+        if (announcement.lifetime.startedUnixMs > latestStart) {
+            logEvent("announcement_implausible",
+                { { "executor", announcement.lifetime.executor }, { "born", announcement.lifetime.startedUnixMs } });
+            return;
+        }
         const bool isOutdated = announcement.lifetime.startedUnixMs < known.lifetime.startedUnixMs
             || (announcement.lifetime == known.lifetime && announcement.sequence <= known.sequence);
         if (isOutdated) {
--- a/src/lycheespool/workload/job_progress.cpp
+++ b/src/lycheespool/workload/job_progress.cpp
@@ -87,6 +87,8 @@
 JobProgress JobProgress::decode(const JobRequest& request, std::string_view bytes)
 {
     auto stored = unpackValue<StoredProgress>(bytes);
+    if (stored.header.state > static_cast<std::uint8_t>(WorkloadState::cancelled))
+        detail::throwDecodeError("unknown state");
     JobProgress progress { request };
     progress.state = static_cast<WorkloadState>(stored.header.state);
     progress.endedUnixMs = stored.header.endedUnixMs;
--- a/test/lycheespool/controller/controller.cpp
+++ b/test/lycheespool/controller/controller.cpp
@@ -1,5 +1,7 @@
 #include "lycheespool/controller/controller.h"
 
+#include "lycheespool/core/error.h"
+
 #include <doctest/doctest.h>
 
 using namespace lycheespool;
@@ -605,6 +607,22 @@
     CHECK(f.controller.jobs().at("job").progress.at({ 0, 0, 0 }).losses == 1);
 }
 
+// Guards against a row of another writer that ends each process that leads.
+TEST_CASE("a job row or a progress row that no entry wrote is refused")
+{
+    Fixture f;
+    auto row = Fixture::job();
+    row.request.steps[0].after = { 7 };
+    CHECK_THROWS_AS(f.controller.addJob("job", row, {}, 0, Fixture::at(0).steady), Error);
+    row = Fixture::job(4'000'000'000U);
+    CHECK_THROWS_AS(f.controller.addJob("job", row, {}, 0, Fixture::at(0).steady), Error);
+    row = Fixture::job();
+    JobProgress progress { row.request };
+    progress.state = static_cast<WorkloadState>(9);
+    CHECK_THROWS_AS(f.controller.addJob("job", row, progress.encode("q", "w"), 1, Fixture::at(0).steady), Error);
+    CHECK(f.controller.jobs().empty());
+}
+
 // Guards against a gang that is spread over racks at once, three times as slow, because the time of its lost run
 // counted as waiting for a rack.
 TEST_CASE("a gang that lost its run waits for a rack again before it is spread")
--- a/test/platform/codecs.cpp
+++ b/test/platform/codecs.cpp
@@ -111,3 +111,29 @@
     for (const auto* const bad : { "", "{}", "{\"node\":1}" })
         CHECK_THROWS_AS((void)decodeSettings(bad), Error);
 }
+
+// Guards against odd entries of another writer that end the process, or that block all later ones.
+TEST_CASE("deeply nested bodies are refused without exhausting the stack")
+{
+    constexpr std::size_t depth = 500'000;
+    const auto nested = std::string(depth, '[') + std::string(depth, ']');
+    CHECK_THROWS_AS((void)decodeJob(R"({"steps":[{"count":1,"x":)" + nested + "}]}"), Error);
+    CHECK_THROWS_AS((void)decodeJob(R"({"steps":[1]})"), Error);
+    CHECK_THROWS_AS((void)decodeHeartbeat("i-1", nested), Error);
+    CHECK_THROWS_AS((void)decodeSettings(nested), Error);
+    const auto brackets = R"({"spec":")" + std::string(1000, '[') + R"(\"{","steps":[{"count":1}]})";
+    CHECK(decodeJob(brackets).steps.size() == 1);
+}
+
+TEST_CASE("a heartbeat with a number that outranks all later ones is refused")
+{
+    const auto body = [](const std::string& born, const std::string& sequence) {
+        return R"({"service":"s","zone":"z","state":"ready","born":)" + born + R"(,"seq":)" + sequence + "}";
+    };
+    CHECK(decodeHeartbeat("i-1", body("1772764647000", "4")).sequence == 4);
+    for (const auto* number : { "1e300", "1e999", "18446744073709551615", "-1", "1.5", "\"4\"" }) {
+        CAPTURE(number);
+        CHECK_THROWS_AS((void)decodeHeartbeat("i-1", body("1772764647000", number)), Error);
+        CHECK_THROWS_AS((void)decodeHeartbeat("i-1", body(number, "4")), Error);
+    }
+}
