--- a/scripts/experiment.py
+++ b/scripts/experiment.py
@@ -131,6 +131,8 @@
         "served": report["served"],
         "breaks": report["breaks"] or {},
         "fault": report.get("fault"),
+        "short": report.get("short") or [],
+        "class_worth": {kind["name"]: kind.get("worth") for kind in report["classes"]},
         "waste": waste[0],
         "waste_worth": waste[1],
         "calls": prices.get("cloud calls", (0, 0))[0],
@@ -148,6 +150,18 @@
             shutil.copy2(entry, target)
 
 
+def print_weakest_classes(arm, results, cases):
+    """Prints the play in which each class earned the smallest share of what it was owed."""
+    shares = {}
+    for case in cases:
+        for kind, share in results.get((arm.key(), *case), {}).get("class_worth", {}).items():
+            if share is not None:
+                shares.setdefault(kind, []).append((share, *case[1:]))
+    for kind, plays in shares.items():
+        mean = statistics.fmean(play[0] for play in plays)
+        print(f"{arm.name:12} {kind:20} mean {mean:.3f}, weakest {min(plays)[0]:.3f} on {min(plays)[1]} seed {min(plays)[2]}")
+
+
 def print_comparison(base, arm, results, groups):
     print(f"\n{arm.name} against {base.name} ({base.key()} -> {arm.key()})")
     print(f"{'site':24} {'day':10} {'n':>3} {'base':>7} {'arm':>7} {'difference':>18} {'waste':>14} {'calls':>12} broken")
@@ -246,16 +260,24 @@
         groups.append(((name, "all"), own))
     for arm in arms[1:] or arms:
         print_comparison(arms[0], arm, results, groups)
+    for arm in arms:
+        print_weakest_classes(arm, results, cases)
     broken = []
     for arm in arms:
         for case in cases:
             figures = results.get((arm.key(), *case), {})
             if figures.get("breaks") or figures.get("fault"):
                 broken.append(f"{arm.name} {' '.join(map(str, case))}: {figures['breaks'] or figures['fault']}")
-    for title, lines in (("broken rules and faults", broken), ("plays without a result, not counted", failures)):
+    short = [
+        f"{arm.name} {' '.join(map(str, case))}: {line}"
+        for arm in arms
+        for case in cases
+        for line in results.get((arm.key(), *case), {}).get("short", [])
+    ]
+    for title, lines in (("broken rules and faults", broken), ("missed floors", short), ("plays without a result, not counted", failures)):
         if lines:
             print(f"\n{title}:\n  " + "\n  ".join(lines))
-    return 1 if failures else 0
+    return 1 if failures or short else 0
 
 
 if __name__ == "__main__":
--- a/test/scripts/test_experiments.py
+++ b/test/scripts/test_experiments.py
@@ -73,6 +73,19 @@
         self.assertIn("exit code 3", figures["error"])
         self.assertIn("no such day", figures["error"])
 
+    # Guards against a day that breaks no rule and serves too little of one class.
+    def test_missed_floors_and_the_share_of_each_class_are_kept(self):
+        kind = {"name": "wide", "n": 4, "in_aim": 1, "late": 0, "refused": 2, "failed": 1, "not_owed": 0, "worth": 0.3}
+        report = {"G": 0.7, "served": 0.9, "breaks": {}, "prices": [], "classes": [kind], "short": ["0.3 of class wide"]}
+        figures = experiment.read_report(report)
+        self.assertEqual(figures["short"], ["0.3 of class wide"])
+        self.assertEqual(figures["class_worth"], {"wide": 0.3})
+        output = io.StringIO()
+        arm = type("Arm", (), {"name": "base", "key": lambda self: "k"})()
+        with contextlib.redirect_stdout(output):
+            experiment.print_weakest_classes(arm, {("k", "s", "day-1", 7): figures}, [("s", "day-1", 7)])
+        self.assertIn("weakest 0.300 on day-1 seed 7", output.getvalue())
+
     def test_only_days_with_faults_are_played_by_default(self):
         with tempfile.NamedTemporaryFile("w", suffix=".toml") as site:
             site.write('[[day]]\nname = "calm"\nslot = "quiet"\n[[day]]\nname = "busy"\nslot = "scale"\n')
