Withdraw starts that exceed a capacity that has shrunk since they were planned

A start that was planned before, and was still being stored or was unanswered and about to be sent again, went to the executor all the same. Before orders are sent, starts that are not confirmed are withdrawn from executors that hold more than their present capacity, whole gangs together; runs that are being stopped count. The first new test fails without the withdrawal (2 orders instead of 1, and a gang that was started). The second one passed before: the planner counts running tasks against the present capacity.

--- a/src/lycheespool/controller/controller.h
+++ b/src/lycheespool/controller/controller.h
@@ -267,6 +267,7 @@
     void startRuns(WaitingStep& waiting, const std::vector<std::string>& nodes, const ClockReading& now);
     [[nodiscard]] double evictionCost(const RunKey& key, const LiveRun& run, TimePoint now) const;
     [[nodiscard]] RunOrder orderFor(const RunKey& key, const LiveRun& run);
+    void withdrawStartsBeyondCapacity();
     [[nodiscard]] bool isStartStillValid(const RunKey& key, const LiveRun& run, TimePoint now) const;
 
     ControllerSettings m_settings;
--- a/src/lycheespool/controller/controller_planning.cpp
+++ b/src/lycheespool/controller/controller_planning.cpp
@@ -434,6 +434,28 @@
     return order;
 }
 
+/*! @brief Withdraws starts that are not confirmed on executors whose capacity has shrunk below what they hold. */
+void Controller::withdrawStartsBeyondCapacity()
+{
+    std::map<Lifetime, ResourceVector> held;
+    for (const auto& [key, run] : m_runs)
+        held[run.lifetime] += run.charged;
+    for (const auto& [key, run] : m_runs) {
+        const auto node = m_nodes.find(run.node);
+        if (run.phase == RunPhase::confirmed || run.isStopping() || node == m_nodes.end()
+            || node->second.lifetime != run.lifetime)
+            continue;
+        auto& amount = held[run.lifetime];
+        if (amount.fitsInto(node->second.capacity))
+            continue;
+        amount -= run.charged;
+        stopRun(key, "the executor's capacity has shrunk");
+        auto* const job = findJob(key.task.job);
+        if (job && job->row.request.steps[key.task.position.step].isGang)
+            stopGangOf(*job, key.task.position, key.run, "a member's executor has shrunk");
+    }
+}
+
 std::map<std::string, NodeOrders> Controller::takeOrders(const ClockReading& now)
 {
     std::map<std::string, NodeOrders> orders;
@@ -444,6 +466,7 @@
         batch.basedOnMs = node.newestReportMs;
         batch.orders.push_back(std::move(order));
     };
+    withdrawStartsBeyondCapacity();
     for (auto it = m_runs.begin(); it != m_runs.end();) {
         const auto current = it++;
         const auto& key = current->first;
--- a/test/lycheespool/controller/controller.cpp
+++ b/test/lycheespool/controller/controller.cpp
@@ -607,6 +607,51 @@
     CHECK(f.controller.jobs().at("job").progress.at({ 0, 0, 0 }).losses == 1);
 }
 
+// Guards against a start that was planned for a capacity that the executor no longer has.
+TEST_CASE("a start is withdrawn when the capacity of its executor shrinks before the order is sent")
+{
+    for (const bool isGang : { false, true }) {
+        CAPTURE(isGang);
+        Fixture f;
+        auto row = Fixture::job(2, isGang);
+        row.request.steps[0].perTask = { 1000, 1000, 4 };
+        f.controller.addJob("job", row, {}, 0, Fixture::at(0).steady);
+        f.receive(f.report(10), 10);
+        (void)f.controller.plan(Fixture::at(10));
+        CHECK(f.controller.liveRuns().size() == 2);
+        auto shrunk = f.report(20);
+        shrunk.capacity.accelerators = 4;
+        f.receive(shrunk, 20);
+        f.storeAll();
+        const auto orders = f.controller.takeOrders(Fixture::at(30));
+        CHECK(orders.empty() == isGang);
+        if (!isGang)
+            CHECK(orders.at("node-0").orders.size() == 1);
+        (void)f.controller.plan(Fixture::at(40));
+        CHECK(f.controller.liveRuns().size() == (isGang ? 0 : 1));
+    }
+}
+
+// Guards against starts on an executor that already holds more than its shrunken capacity.
+TEST_CASE("an executor that has shrunk gets no start until its runs fit again")
+{
+    Fixture f;
+    const auto run = f.startOne(10);
+    f.controller.addJob("next", Fixture::job(), {}, 0, Fixture::at(0).steady);
+    auto report = f.report(100);
+    report.running = { run };
+    report.capacity.accelerators = 1;
+    f.receive(report, 100);
+    (void)f.controller.plan(Fixture::at(500));
+    CHECK(f.controller.liveRuns().size() == 1);
+    report = f.report(600);
+    report.ended = { { 1, run.task, run.run, RunEndKind::done, {} } };
+    report.capacity.accelerators = 1;
+    f.receive(report, 600);
+    (void)f.controller.plan(Fixture::at(610));
+    CHECK(f.controller.liveRuns().size() == 1);
+}
+
 // Guards against a row of another writer that ends each process that leads.
 TEST_CASE("a job row or a progress row that no entry wrote is refused")
 {
