Notice at once that the store is back after an outage

Cause: an entry that has had no answer for 2 s rejects without an attempt, and its feeds learned of the return only when the store ended a wait for changes, up to 1 s later. The first call of a feed after a failure no longer waits; the same for the operators' rows and for the leader's feed of submissions. test_gateway and test_controller pass; the new test was not run against the code before, which always asked with the full wait.

--- a/src/lycheespool/cluster/operator_watcher.h
+++ b/src/lycheespool/cluster/operator_watcher.h
@@ -84,8 +84,9 @@
             apply();
         } else {
             std::string table = m_source.table;
-            const auto changes
-                = co_await m_store.changes(std::move(table), m_version, changeWait, changeWait + answerTimeout);
+            // After a failure an immediate answer shows at once that the store is back.
+            const auto wait = m_isUnreachable ? Duration {} : changeWait;
+            const auto changes = co_await m_store.changes(std::move(table), m_version, wait, wait + answerTimeout);
             if (changes.isHistoryLost) {
                 logEvent("operator_history_lost", { { "version", m_version } });
                 m_isListed = false;
@@ -102,7 +103,7 @@
                 apply();
             } else {
                 // The store answers that nothing has changed only after the wait, which confirms the state until then.
-                m_confirmedAt = sent + changeWait;
+                m_confirmedAt = sent + wait;
                 co_return;
             }
         }
--- a/src/lycheespool/controller/leader_host.h
+++ b/src/lycheespool/controller/leader_host.h
@@ -289,7 +289,9 @@
     [[nodiscard]] Awaitable<std::optional<std::uint64_t>> follow(std::uint64_t term, std::uint64_t after)
     {
         std::string table { RowNames::submissionTable };
-        const auto changes = co_await m_store.changes(std::move(table), after, feedWait, feedWait + answerTimeout);
+        // After a failure an immediate answer shows at once that the store is back.
+        const auto wait = m_isSubmissionFeedDown ? Duration {} : feedWait;
+        const auto changes = co_await m_store.changes(std::move(table), after, wait, wait + answerTimeout);
         if (changes.isHistoryLost) {
             logEvent("intake_history_lost", { { "version", after } });
             co_return std::nullopt;
--- a/src/lycheespool/gateway/job_gateway.h
+++ b/src/lycheespool/gateway/job_gateway.h
@@ -293,8 +293,9 @@
             m_isListed = true;
         } else {
             std::string table { RowNames::progressTable };
-            const auto changes
-                = co_await m_store.changes(std::move(table), m_version, feedWait, feedWait + attemptTimeout);
+            // After a failure an immediate answer shows at once that the store is back.
+            const auto wait = m_isStoreDown ? Duration {} : feedWait;
+            const auto changes = co_await m_store.changes(std::move(table), m_version, wait, wait + attemptTimeout);
             if (changes.isHistoryLost) {
                 logEvent("states_history_lost", { { "version", m_version } });
                 m_isListed = false;
@@ -304,8 +305,8 @@
                 applyRow(it);
             m_version = std::max(m_version, changes.version);
             if (changes.rows.empty()) {
-                // The store held the call for feedWait before it answered that nothing had changed.
-                m_confirmedAt = sent + feedWait;
+                // The store held the call for the whole wait before it answered that nothing had changed.
+                m_confirmedAt = sent + wait;
                 co_return;
             }
             // A change of any job ends the wait of all entries; the delay limits the rate of their calls.
--- a/test/lycheespool/gateway/job_gateway.cpp
+++ b/test/lycheespool/gateway/job_gateway.cpp
@@ -160,3 +160,22 @@
     CHECK(checkAccess(config, "host", "/a/b/1", "other").decision == AccessDecision::unknownKey);
     CHECK(checkAccess(config, "other", "/a/b/1", "key").decision == AccessDecision::noQueue);
 }
+
+// Guards against submissions that are rejected because the entry learns of the store's return only after a long wait.
+TEST_CASE("after a failure an entry asks the store without waiting for a change")
+{
+    Fixture f;
+    asio::io_context context;
+    asio::co_spawn(context, f.first.run(), asio::detached);
+    context.run_for(20ms);
+    CHECK(f.firstStore.lastWait > 0ms);
+    f.firstStore.isRefusing = true;
+    context.run_for(200ms);
+    CHECK(f.firstStore.lastWait == 0ms);
+    f.firstStore.isRefusing = false;
+    f.firstStore.answered = BootClock {}.now() - 10s;
+    CHECK_FALSE(f.first.isStoreReachable());
+    context.run_for(200ms);
+    CHECK(f.first.isStoreReachable());
+    CHECK(f.firstStore.lastWait > 0ms);
+}
--- a/test/lycheespool/store/fake_row_store.h
+++ b/test/lycheespool/store/fake_row_store.h
@@ -41,6 +41,8 @@
     /*! @brief Commits without an answer that take effect only when applyLate() is called. */
     unsigned delayCommits { 0 };
     unsigned commits { 0 };
+    /*! @brief Wait of the latest call for changes. */
+    Duration lastWait {};
 
     [[nodiscard]] TimePoint answeredAt() const { return answered; }
 
@@ -82,6 +84,7 @@
 
     [[nodiscard]] Awaitable<RowChanges> changes(std::string table, std::uint64_t after, Duration wait, Duration)
     {
+        lastWait = wait;
         refuse();
         RowChanges changes;
         changes.version = m_rows.version;
