--- a/src/lycheespool/dispatch/start_planner.cpp
+++ b/src/lycheespool/dispatch/start_planner.cpp
@@ -236,7 +236,10 @@
     Places starts;
     std::ranges::copy_if(places, std::back_inserter(starts), [this](std::size_t it) {
         auto& trials = m_nodes[it].trialStarts;
-        return trials > 0 && trials-- > 0;
+        if (trials == 0)
+            return false;
+        --trials;
+        return true;
     });
     return starts;
 }
