Say what two fields of the reliability rules mean

Read-through of the change: the comment of the trial time named no figure, and that of a run's planned reliability called the default the best one, which it no longer is. Comments only; the file that uses both compiles.

--- a/src/lycheespool/controller/decision_policy.h
+++ b/src/lycheespool/controller/decision_policy.h
@@ -32,7 +32,7 @@
     /*! @brief The last attempt of a job waits for executors without recent failures. */
     bool protectsLastAttempt { true };
     /*! @brief Time after which a run that goes on shows that its executor works, ms; executors that fail what they
-     * start do so within a tenth of it to a whole one. */
+     * start do so 30 to 300 ms later. */
     double trialMs { 300 };
     /*! @brief Number of tasks that may be in their trial time on an executor that is not proven. */
     std::size_t trialStarts { 2 };
--- a/src/lycheespool/controller/live_run.h
+++ b/src/lycheespool/controller/live_run.h
@@ -60,7 +60,7 @@
     bool isPartial { false };
     /*! @brief When the latest checkpoint was first reported. */
     TimePoint checkpointAt {};
-    /*! @brief Reliability of the executor when the run was planned; the best one for runs of an earlier term. */
+    /*! @brief Reliability of the executor when the run was planned; unknown, hence the default, for an earlier term. */
     NodeReliability plannedReliability { NodeReliability::reliable };
 
     [[nodiscard]] bool isStopping() const { return !stopReason.empty(); }
