Attribute a crash to a run only if its start reached the executor

What callers saw: a job shown as failed although no task had failed, and no executor had crashed under any of its tasks.

Cause: a run counted as just started from the moment its order was taken. An executor that crashes is known as unreachable to its agent at once and to the leader up to 0.8 s later; starts of that time were rejected by the agent (unreachable) and never sent, but the executor's next lifetime made each of them a crash under its task. Two of these end a job.

Change: the outcome of a start says whether the executor may have begun the run because of it, and the leader keeps the number of such orders for each run. A run that cannot have begun counts neither as a crash nor as a loss. A start without an answer counts as a loss only, since it may have been sent to an executor that had crashed before.

Test: 'a job whose starts never reached the crashed executors is repeated' fails on the former rule in its third round (the job had ended).

--- a/src/lycheespool/controller/controller_jobs.cpp
+++ b/src/lycheespool/controller/controller_jobs.cpp
@@ -96,6 +96,7 @@
             run.node = it.node;
             // It is unknown whether the previous leader sent the order, so the run counts as ordered.
             run.phase = RunPhase::ordered;
+            run.possibleStarts = 1;
             run.isPartial = true;
             run.charged = steps[position.step].charged();
             run.orderedAt = now;
--- a/src/lycheespool/controller/controller_planning.cpp
+++ b/src/lycheespool/controller/controller_planning.cpp
@@ -495,6 +495,7 @@
         run.orderedAt = now.steady;
         if (run.phase == RunPhase::planned)
             run.phase = RunPhase::ordered;
+        run.possibleStarts += !run.isStopping();
         add(node->second, orderFor(key, run));
     }
     for (auto& [name, node] : m_nodes) {
--- a/src/lycheespool/controller/controller_runs.cpp
+++ b/src/lycheespool/controller/controller_runs.cpp
@@ -292,14 +292,16 @@
         const auto it = m_runs.find(key);
         m_runsLost.add();
         // A run that was listed after its start window has not crashed its executor by starting.
-        const bool isSuspicious = it->second.phase != RunPhase::planned
+        const bool isSuspicious = it->second.mayHaveBegun()
             && (it->second.phase == RunPhase::ordered
                 || it->second.lastListedMs < it->second.answeredAtMs + startWindowMs);
-        const bool causedCrash = startingJobs.size() == 1 && hasJustStarted(it->second, report);
+        // A start without an answer may have been sent to an executor that had crashed before.
+        const bool causedCrash = startingJobs.size() == 1 && it->second.phase == RunPhase::confirmed
+            && hasJustStarted(it->second, report);
         logEvent("run_lost",
             { { "task", key.task.toString() }, { "run", key.run }, { "node", node },
                 { "executor", it->second.lifetime.executor }, { "reason", reason }, { "caused_crash", causedCrash },
-                { "jobs_starting", startingJobs.size() } });
+                { "may_have_begun", it->second.mayHaveBegun() }, { "jobs_starting", startingJobs.size() } });
         releaseRun(it);
         auto* const job = findJob(key.task.job);
         if (!job)
@@ -311,12 +313,12 @@
     }
 }
 
-/*! @brief Checks if a run was starting when its executor crashed, as its agent witnessed. */
+/*! @brief Checks if a run may have been starting when its executor crashed, as its agent witnessed. */
 bool Controller::hasJustStarted(const LiveRun& run, const NodeReport* report)
 {
     // The start of a run of an earlier term is unknown.
     const bool isOfThisTerm = run.plannedRevision > 0;
-    if (!report || !isOfThisTerm || run.phase == RunPhase::planned || run.lifetime != report->previousLifetime)
+    if (!report || !isOfThisTerm || !run.mayHaveBegun() || run.lifetime != report->previousLifetime)
         return false;
     return run.phase == RunPhase::ordered || report->previousLostAtMs <= run.answeredAtMs + startWindowMs;
 }
@@ -401,6 +403,8 @@
     if (it == m_runs.end() || it->second.lifetime != lifetime)
         return;
     auto& run = it->second;
+    if (!outcome.mayHaveBegun && run.possibleStarts > 0)
+        --run.possibleStarts;
     switch (outcome.result) {
     case RunOrderResult::started:
         if (run.phase != RunPhase::confirmed) {
--- a/src/lycheespool/controller/live_run.h
+++ b/src/lycheespool/controller/live_run.h
@@ -44,6 +44,9 @@
     std::string stopReason;
     /*! @brief The executor answered the stop order, so the run cannot start any more. */
     bool stopAnswered { false };
+    /*! @brief Start orders after which the executor may have begun the run: all that were sent, less those whose outcome
+     * excludes it. */
+    std::uint32_t possibleStarts { 0 };
     /*! @brief When the latest order was sent. */
     TimePoint orderedAt { neverOrdered };
     TimePoint confirmedAt {};
@@ -64,6 +67,7 @@
     NodeReliability plannedReliability { NodeReliability::reliable };
 
     [[nodiscard]] bool isStopping() const { return !stopReason.empty(); }
+    [[nodiscard]] bool mayHaveBegun() const { return phase == RunPhase::confirmed || possibleStarts > 0; }
 };
 
 }
--- a/src/lycheespool/nodeagent/node_agent.h
+++ b/src/lycheespool/nodeagent/node_agent.h
@@ -391,12 +391,13 @@
     [[nodiscard]] Awaitable<RunOrderOutcome> executeOrder(RunOrder order, NodeOrders batch)
     {
         RunOrderOutcome outcome;
+        outcome.mayHaveBegun = !order.isStart;
         if (batch.lifetime != m_executorState.lifetime)
             outcome.result = RunOrderResult::wrongLifetime;
         else if (order.isStart)
             outcome = co_await startRun(order, batch);
         else
-            outcome = co_await stopRun(order, batch, "ordered");
+            outcome = co_await stopRun(order, batch, "ordered", true);
         outcome.task = order.task;
         outcome.run = order.run;
         outcome.answeredAtMs = clockMs(BootClock {}.now());
@@ -404,7 +405,8 @@
         logEvent("order_carried_out",
             { { "task", order.task }, { "run", order.run }, { "start", order.isStart },
                 { "result", static_cast<int>(outcome.result) }, { "reason", outcome.reason },
-                { "epoch", batch.epoch.value() }, { "executor", batch.lifetime.executor },
+                { "may_have_begun", outcome.mayHaveBegun }, { "epoch", batch.epoch.value() },
+                { "executor", batch.lifetime.executor },
                 { "decision_age_ms", clockMs(BootClock {}.now()) - batch.basedOnMs } });
         co_return outcome;
     }
@@ -446,6 +448,7 @@
         auto now = beginTime;
         auto retryDelay = orderRetryDelay;
         std::string rejectionReason = startRejectionReason(batch, now);
+        bool mayHaveBegun = false;
         while (rejectionReason.empty() && now - beginTime < orderTimeout) {
             RunStart start { batch.lifetime, batch.epoch.value(), order.task, order.run, order.payload,
                 order.checkpoint, m_leaseClock.leaseEndMs(now).value_or(0) };
@@ -455,10 +458,11 @@
                 m_leaseClock.recordSample(*answer.clockMs, now);
             if (answer.kind == ExecutorAnswerKind::accepted) {
                 m_startLatency.record(std::chrono::duration<double, std::milli> { now - beginTime }.count());
-                co_return RunOrderOutcome { {}, 0, RunOrderResult::started, {}, 0 };
+                co_return RunOrderOutcome { {}, 0, RunOrderResult::started, {}, 0, true };
             }
+            mayHaveBegun = mayHaveBegun || answer.kind == ExecutorAnswerKind::unanswered;
             if (answer.kind == ExecutorAnswerKind::wrongLifetime)
-                co_return RunOrderOutcome { {}, 0, RunOrderResult::wrongLifetime, {}, 0 };
+                co_return RunOrderOutcome { {}, 0, RunOrderResult::wrongLifetime, {}, 0, mayHaveBegun };
             if (answer.kind == ExecutorAnswerKind::refused) {
                 rejectionReason = "refused: " + answer.reason;
                 break;
@@ -470,10 +474,11 @@
         if (rejectionReason.empty())
             rejectionReason = "no answer";
         // The executor may still execute an unanswered start; a stop of the same run prevents that.
-        co_return co_await stopRun(order, batch, rejectionReason);
+        co_return co_await stopRun(order, batch, rejectionReason, mayHaveBegun);
     }
 
-    [[nodiscard]] Awaitable<RunOrderOutcome> stopRun(RunOrder order, NodeOrders batch, std::string reason)
+    [[nodiscard]] Awaitable<RunOrderOutcome> stopRun(
+        RunOrder order, NodeOrders batch, std::string reason, bool mayHaveBegun)
     {
         const auto beginTime = BootClock {}.now();
         auto retryDelay = orderRetryDelay;
@@ -481,17 +486,17 @@
             RunStop stop { batch.lifetime, batch.epoch.value(), order.task, order.run };
             const auto answer = co_await m_control.stop(std::move(stop), executorTimeout);
             if (answer.kind == ExecutorAnswerKind::accepted)
-                co_return RunOrderOutcome { {}, 0, RunOrderResult::stopped, reason, 0 };
+                co_return RunOrderOutcome { {}, 0, RunOrderResult::stopped, reason, 0, mayHaveBegun };
             if (answer.kind == ExecutorAnswerKind::wrongLifetime)
-                co_return RunOrderOutcome { {}, 0, RunOrderResult::wrongLifetime, reason, 0 };
+                co_return RunOrderOutcome { {}, 0, RunOrderResult::wrongLifetime, reason, 0, mayHaveBegun };
             if (answer.kind == ExecutorAnswerKind::refused)
-                co_return RunOrderOutcome { {}, 0, RunOrderResult::unresolved, answer.reason, 0 };
+                co_return RunOrderOutcome { {}, 0, RunOrderResult::unresolved, answer.reason, 0, mayHaveBegun };
             // The leader repeats the order when the executor responds to its agent again.
             if (!m_leaseClock.isExtending())
                 break;
             co_await sleepFor(std::exchange(retryDelay, 2 * retryDelay));
         }
-        co_return RunOrderOutcome { {}, 0, RunOrderResult::unresolved, reason, 0 };
+        co_return RunOrderOutcome { {}, 0, RunOrderResult::unresolved, reason, 0, mayHaveBegun };
     }
 
     asio::any_io_executor m_executor;
--- a/src/lycheespool/wire/node_messages.h
+++ b/src/lycheespool/wire/node_messages.h
@@ -146,7 +146,9 @@
     std::string reason;
     /*! @brief Agent's clock after the executor's answer, ms. */
     std::uint64_t answeredAtMs { 0 };
-    MSGPACK_DEFINE(task, run, result, reason, answeredAtMs)
+    /*! @brief False if the order is a start and the executor has certainly not begun the run because of it. */
+    bool mayHaveBegun { true };
+    MSGPACK_DEFINE(task, run, result, reason, answeredAtMs, mayHaveBegun)
 };
 
 /*! @brief Answer to NodeOrders. */
--- a/test/lycheespool/controller/controller.cpp
+++ b/test/lycheespool/controller/controller.cpp
@@ -565,6 +565,38 @@
     }
 }
 
+// Guards against blaming a job for a crash that came before its start was sent.
+TEST_CASE("a job whose starts never reached the crashed executors is repeated")
+{
+    Fixture f;
+    f.controller.addJob("job", Fixture::job(), {}, 0, Fixture::at(0).steady);
+    for (int i = 0; i < 8; ++i) {
+        const std::int64_t ms = 1000 + i * 4000;
+        const auto node = "node-" + std::to_string(i);
+        const auto before = f.report(ms, node);
+        f.receive(before, ms);
+        (void)f.controller.plan(Fixture::at(ms));
+        f.storeAll();
+        const auto orders = f.controller.takeOrders(Fixture::at(ms));
+        REQUIRE(orders.contains(node));
+        const auto& order = orders.at(node).orders.at(0);
+        RunOrderOutcome outcome { order.task, order.run, RunOrderResult::unresolved, "unreachable", 0 };
+        outcome.mayHaveBegun = false;
+        f.controller.onOutcome(node, before.lifetime, outcome, Fixture::at(ms + 20));
+        auto returned = f.report(ms + 3000, node);
+        returned.lifetime.startedUnixMs = 2;
+        returned.previousLifetime = before.lifetime;
+        returned.previousLostAtMs = static_cast<std::uint64_t>(ms);
+        // The node takes no part in the next round.
+        f.receive(returned, ms + 3000);
+        returned.state = ExecutorState::draining;
+        f.receive(returned, ms + 3001);
+        f.storeAll();
+    }
+    CHECK(f.controller.jobs().at("job").progress.state == WorkloadState::running);
+    CHECK(f.controller.jobs().at("job").progress.at({ 0, 0, 0 }).losses == 0);
+}
+
 // Guards against a count of crashes that ends with the leader or that needs a witness.
 TEST_CASE("a task that crashes executors is started at most twice more after three crashes, whoever leads")
 {
