--- a/src/lycheespool/controller/controller_runs.cpp
+++ b/src/lycheespool/controller/controller_runs.cpp
@@ -296,8 +296,8 @@
             && (it->second.phase == RunPhase::ordered
                 || it->second.lastListedMs < it->second.answeredAtMs + startWindowMs);
         // A start without an answer may have been sent to an executor that had crashed before.
-        const bool causedCrash = startingJobs.size() == 1 && it->second.phase == RunPhase::confirmed
-            && hasJustStarted(it->second, report);
+        const bool causedCrash
+            = startingJobs.size() == 1 && it->second.phase == RunPhase::confirmed && hasJustStarted(it->second, report);
         logEvent("run_lost",
             { { "task", key.task.toString() }, { "run", key.run }, { "node", node },
                 { "executor", it->second.lifetime.executor }, { "reason", reason }, { "caused_crash", causedCrash },
--- a/src/lycheespool/controller/live_run.h
+++ b/src/lycheespool/controller/live_run.h
@@ -44,8 +44,8 @@
     std::string stopReason;
     /*! @brief The executor answered the stop order, so the run cannot start any more. */
     bool stopAnswered { false };
-    /*! @brief Start orders after which the executor may have begun the run: all that were sent, less those whose outcome
-     * excludes it. */
+    /*! @brief Start orders after which the executor may have begun the run: all that were sent, less those whose
+     * outcome excludes it. */
     std::uint32_t possibleStarts { 0 };
     /*! @brief When the latest order was sent. */
     TimePoint orderedAt { neverOrdered };
