Count no loss when an executor was cut off but did not end

What callers saw: a job shown as failed although no task had failed and no executor had crashed.

Cause: each loss of a run before its first list counted towards the five losses that end a job, also when the permits of the executor had expired because it was cut off. The users allow a task to be given up after two executors have crashed under it, and for no other loss.

Change: a loss counts only with the report of a newer lifetime of the executor.

--- a/src/lycheespool/controller/controller_runs.cpp
+++ b/src/lycheespool/controller/controller_runs.cpp
@@ -306,7 +306,8 @@
         auto* const job = findJob(key.task.job);
         if (!job)
             continue;
-        if (isSuspicious && !isPlanned)
+        // Without a report of a newer lifetime the executor may have been cut off and still run.
+        if (report && isSuspicious && !isPlanned)
             recordLoss(*job, key, causedCrash, node, now);
         if (job->row.request.steps[key.task.position.step].isGang)
             stopGangOf(*job, key.task.position, key.run, "a member of the gang was lost");
--- a/src/lycheespool/dispatch/crash_limits.h
+++ b/src/lycheespool/dispatch/crash_limits.h
@@ -9,7 +9,7 @@
 struct CrashCounts {
     /*! @brief Crashes that only this work can have caused. */
     std::uint32_t crashes { 0 };
-    /*! @brief Losses of runs that had not been seen at work, whatever the cause. */
+    /*! @brief Lifetimes of executors that ended under a run which had not been seen at work, whatever the cause. */
     std::uint32_t losses { 0 };
 };
 
--- a/src/lycheespool/workload/job_progress.h
+++ b/src/lycheespool/workload/job_progress.h
@@ -42,7 +42,7 @@
     std::vector<RunPlacement> placements;
     /*! @brief Executors that crashed as a run of the task started on them, and no run of another job did. */
     std::uint32_t crashes { 0 };
-    /*! @brief Runs that were lost with their executors before they were seen at work. */
+    /*! @brief Runs whose executors' lifetimes ended before the runs were seen at work. */
     std::uint32_t losses { 0 };
     MSGPACK_DEFINE(done, failures, lastRun, checkpoint, placements, crashes, losses)
 };
--- a/test/lycheespool/controller/controller.cpp
+++ b/test/lycheespool/controller/controller.cpp
@@ -597,6 +597,31 @@
     CHECK(f.controller.jobs().at("job").progress.at({ 0, 0, 0 }).losses == 0);
 }
 
+// Guards against giving up work whose executors were cut off but did not end.
+TEST_CASE("a job whose executors are cut off before their first lists is repeated")
+{
+    Fixture f;
+    f.controller.addJob("job", Fixture::job(), {}, 0, Fixture::at(0).steady);
+    for (int i = 0; i < 8; ++i) {
+        const std::int64_t ms = 20000 + i * 10000;
+        const auto node = "node-" + std::to_string(i);
+        f.receive(f.report(ms, node), ms);
+        f.controller.superviseRuns(Fixture::at(ms));
+        (void)f.controller.plan(Fixture::at(ms));
+        f.storeAll();
+        const auto orders = f.controller.takeOrders(Fixture::at(ms));
+        REQUIRE(orders.contains(node));
+        const auto& order = orders.at(node).orders.at(0);
+        f.controller.onOutcome(node, orders.at(node).lifetime,
+            { order.task, order.run, RunOrderResult::started, {}, static_cast<std::uint64_t>(ms + 5) },
+            Fixture::at(ms + 5));
+        f.controller.superviseRuns(Fixture::at(ms + 9000));
+        f.storeAll();
+    }
+    CHECK(f.controller.liveRuns().empty());
+    CHECK(f.controller.jobs().at("job").progress.state == WorkloadState::running);
+}
+
 // Guards against a count of crashes that ends with the leader or that needs a witness.
 TEST_CASE("a task that crashes executors is started at most twice more after three crashes, whoever leads")
 {
