Count one failed run of a gang once, whoever leads

What callers saw: a gang with two attempts shown as failed after one failed run.

Cause: the run whose failure is counted was known to one leader only. If the leader changed between the ends of two members that failed in the same run, its successor counted the run again and ended the job.

Change: the number of that run is stored in the progress row with the count. Rows without it are read as before.

Test: 'members that fail in one run under two leaders spend one attempt of their gang' fails before.

--- a/src/lycheespool/controller/controller_jobs.cpp
+++ b/src/lycheespool/controller/controller_jobs.cpp
@@ -89,6 +89,7 @@
         if (!task.done)
             ++round.open;
         round.gangFailures += task.failures;
+        round.lastFailedRun = std::max(round.lastFailedRun, task.lastFailedRun);
         for (const auto& it : task.placements) {
             const RunKey key { { job.id, position }, it.run };
             LiveRun run;
--- a/src/lycheespool/controller/controller_trust.cpp
+++ b/src/lycheespool/controller/controller_trust.cpp
@@ -107,6 +107,8 @@
     if (step.isGang && round.lastFailedRun == key.run)
         return;
     round.lastFailedRun = key.run;
+    if (step.isGang)
+        task.lastFailedRun = key.run;
     round.failedAt[step.isGang ? 0 : position.index] = now.steady;
     ++task.failures;
     ++round.gangFailures;
--- a/src/lycheespool/workload/job_progress.h
+++ b/src/lycheespool/workload/job_progress.h
@@ -44,7 +44,9 @@
     std::uint32_t crashes { 0 };
     /*! @brief Runs whose executors' lifetimes ended before the runs were seen at work. */
     std::uint32_t losses { 0 };
-    MSGPACK_DEFINE(done, failures, lastRun, checkpoint, placements, crashes, losses)
+    /*! @brief Run of the latest counted failure of a gang member; 0 for none. */
+    std::uint64_t lastFailedRun { 0 };
+    MSGPACK_DEFINE(done, failures, lastRun, checkpoint, placements, crashes, losses, lastFailedRun)
 };
 
 /*! @brief Header of a progress row, for readers that need only the state. */
--- a/test/lycheespool/controller/controller.cpp
+++ b/test/lycheespool/controller/controller.cpp
@@ -664,6 +664,35 @@
     CHECK(f.controller.jobs().at("job").progress.at({ 0, 0, 0 }).losses == 1);
 }
 
+// Guards against counting one failed run of a gang once for each leader that hears of a member.
+TEST_CASE("members that fail in one run under two leaders spend one attempt of their gang")
+{
+    Fixture f;
+    auto row = Fixture::job(2, true);
+    row.request.steps[0].perTask = { 1000, 1000, 8 };
+    f.controller.addJob("job", row, {}, 0, Fixture::at(0).steady);
+    f.receive(f.report(10, "a"), 10);
+    f.receive(f.report(10, "b"), 10);
+    (void)f.controller.plan(Fixture::at(10));
+    f.storeAll();
+    const auto orders = f.controller.takeOrders(Fixture::at(10));
+    REQUIRE(orders.size() == 2);
+    const auto failed = [&](const std::string& node) {
+        const auto& order = orders.at(node).orders.at(0);
+        auto report = f.report(500, node);
+        report.ended = { { 1, order.task, order.run, RunEndKind::failed, {} } };
+        return report;
+    };
+    f.receive(failed("a"), 500);
+    const auto writes = f.controller.pendingWrites(10);
+    REQUIRE(writes.size() == 1);
+    Controller successor { ControllerSettings {}, Epoch { 2 }, Fixture::at(1000).steady, f.metrics };
+    successor.setConfig(std::make_shared<const OperatorConfig>());
+    successor.addJob("job", row, writes[0].value, 2, Fixture::at(1000).steady);
+    successor.onReport(failed("b"), Fixture::at(1100));
+    CHECK(successor.jobs().at("job").progress.state == WorkloadState::running);
+}
+
 // Guards against a start that was planned for a capacity that the executor no longer has.
 TEST_CASE("a start is withdrawn when the capacity of its executor shrinks before the order is sent")
 {
