Count crashes of executors by task, not by gang

What callers saw: a gang shown as failed although no task of it had crashed two executors.

Cause: crashes and losses were added up over the members of a gang, and each run was counted once by a number that only one leader knew. Crashes under different members reached the limit although no task had been there twice, and members lost under two leaders counted one power failure twice.

Test: 'a gang is repeated after one crash under each of two members' fails before.

--- a/src/lycheespool/controller/controller.h
+++ b/src/lycheespool/controller/controller.h
@@ -232,7 +232,6 @@
     void releaseLostRuns(const std::string& node, const Lifetime& present, const std::string& reason,
         const ClockReading& now, const NodeReport* report = nullptr);
     [[nodiscard]] static bool hasJustStarted(const LiveRun& run, const NodeReport* report);
-    [[nodiscard]] CrashCounts crashCountsOf(const ManagedWorkload& job, const TaskPosition& position) const;
     void recordLoss(
         ManagedWorkload& job, const RunKey& key, bool causedCrash, const std::string& node, const ClockReading& now);
     void processRunningTasks(ExecutorView& node, const NodeReport& report, const ClockReading& now);
--- a/src/lycheespool/controller/controller_runs.cpp
+++ b/src/lycheespool/controller/controller_runs.cpp
@@ -324,46 +324,23 @@
     return run.phase == RunPhase::ordered || report->previousLostAtMs <= run.answeredAtMs + startWindowMs;
 }
 
-/*! @brief Counts the executors that were lost under a task, or under all members of its gang. */
-CrashCounts Controller::crashCountsOf(const ManagedWorkload& job, const TaskPosition& position) const
-{
-    const auto& step = job.row.request.steps[position.step];
-    CrashCounts counts;
-    const auto add = [&](std::uint32_t index) {
-        const auto& task = job.progress.at({ position.occurrence, position.step, index });
-        counts.crashes += task.crashes;
-        counts.losses += task.losses;
-    };
-    if (!step.isGang)
-        add(position.index);
-    for (std::uint32_t i = 0; step.isGang && i < step.tasks; ++i)
-        add(i);
-    return counts;
-}
-
 /*! @brief Counts the loss of a run and gives its job up when its limit is reached. */
 void Controller::recordLoss(
     ManagedWorkload& job, const RunKey& key, bool causedCrash, const std::string& node, const ClockReading& now)
 {
     const auto& position = key.task.position;
     const auto& step = job.row.request.steps[position.step];
-    auto& round = job.round(position.occurrence, position.step);
     if (step.isService || isEnded(job.progress.state))
         return;
-    // A power failure may take all members of a gang with it; each of its runs counts once.
-    const bool isNewLoss = !step.isGang || std::exchange(round.lastLostRun, key.run) != key.run;
-    const bool isNewCrash = causedCrash && (!step.isGang || std::exchange(round.lastCrashRun, key.run) != key.run);
-    if (!isNewLoss && !isNewCrash)
-        return;
     auto& task = job.progress.at(position);
-    task.losses += isNewLoss;
-    if (isNewCrash) {
+    ++task.losses;
+    if (causedCrash) {
         ++task.crashes;
         m_crashesAttributed.add();
         job.failedNodes.insert(node);
     }
     markChanged(job);
-    const auto counts = crashCountsOf(job, position);
+    const CrashCounts counts { task.crashes, task.losses };
     logEvent("loss_counted",
         { { "task", key.task.toString() }, { "run", key.run }, { "node", node }, { "crashes", counts.crashes },
             { "losses", counts.losses }, { "epoch", m_epoch.value() } });
--- a/src/lycheespool/controller/managed_workload.h
+++ b/src/lycheespool/controller/managed_workload.h
@@ -25,10 +25,6 @@
     std::uint32_t gangFailures { 0 };
     /*! @brief Run number of the last counted failure of the gang. */
     std::uint64_t lastFailedRun { 0 };
-    /*! @brief Run number of the last counted loss of the gang. */
-    std::uint64_t lastLostRun { 0 };
-    /*! @brief Run number of the last crash that was attributed to the gang. */
-    std::uint64_t lastCrashRun { 0 };
     /*! @brief When the latest failed run of a task was reported, by index; the whole gang has one entry, 0. */
     std::map<std::uint32_t, TimePoint> failedAt;
     /*! @brief Uninterrupted completed runs; passed to the node speeds when the step is complete. */
--- a/src/lycheespool/dispatch/crash_limits.h
+++ b/src/lycheespool/dispatch/crash_limits.h
@@ -5,7 +5,7 @@
 
 namespace lycheespool {
 
-/*! @brief Executors that were lost under the runs of one task, or of one gang. */
+/*! @brief Executors that were lost under the runs of one task. */
 struct CrashCounts {
     /*! @brief Crashes that only this work can have caused. */
     std::uint32_t crashes { 0 };
--- a/test/lycheespool/controller/controller.cpp
+++ b/test/lycheespool/controller/controller.cpp
@@ -664,6 +664,49 @@
     CHECK(f.controller.jobs().at("job").progress.at({ 0, 0, 0 }).losses == 1);
 }
 
+// Guards against adding up crashes under different tasks, none of which has crashed two executors.
+TEST_CASE("a gang is repeated after one crash under each of two members")
+{
+    Fixture f;
+    auto row = Fixture::job(2, true);
+    row.request.steps[0].perTask = { 1000, 1000, 8 };
+    f.controller.addJob("job", row, {}, 0, Fixture::at(0).steady);
+    for (std::uint32_t round = 0; round < 2; ++round) {
+        const std::int64_t ms = 1000 + round * 4000;
+        const std::vector<std::string> nodes { "a" + std::to_string(round), "b" + std::to_string(round) };
+        for (const auto& it : nodes)
+            f.receive(f.report(ms, it), ms);
+        (void)f.controller.plan(Fixture::at(ms));
+        f.storeAll();
+        const auto orders = f.controller.takeOrders(Fixture::at(ms));
+        REQUIRE(orders.size() == 2);
+        for (const auto& [node, batch] : orders) {
+            const auto& order = batch.orders.at(0);
+            f.controller.onOutcome(node, batch.lifetime,
+                { order.task, order.run, RunOrderResult::started, {}, static_cast<std::uint64_t>(ms) },
+                Fixture::at(ms));
+        }
+        for (const auto& it : nodes) {
+            auto report = f.report(ms + 3000, it);
+            const auto& task = orders.at(it).orders.at(0).task;
+            if (parseTaskName(task)->position.index == round) {
+                report.previousLifetime = report.lifetime;
+                report.previousLostAtMs = static_cast<std::uint64_t>(ms + 20);
+                report.lifetime.startedUnixMs = 2;
+            } else {
+                report.ended = { { 1, task, orders.at(it).orders.at(0).run, RunEndKind::broken, {} } };
+            }
+            f.receive(report, ms + 3000);
+            report.state = ExecutorState::draining;
+            f.receive(report, ms + 3001);
+        }
+        f.storeAll();
+    }
+    CHECK(f.controller.jobs().at("job").progress.state == WorkloadState::running);
+    CHECK(f.controller.jobs().at("job").progress.at({ 0, 0, 0 }).crashes == 1);
+    CHECK(f.controller.jobs().at("job").progress.at({ 0, 0, 1 }).crashes == 1);
+}
+
 // Guards against counting one failed run of a gang once for each leader that hears of a member.
 TEST_CASE("members that fail in one run under two leaders spend one attempt of their gang")
 {
