Give up tasks that crash executors long after their starts

What callers saw: a task that crashes its executor 3 s after each start was started again without a limit; each crash took other work with it.

Cause: only a crash within 300 ms of a start, or before the first list of the run, was counted.

Change: a crash that the agent witnessed and that no start explains counts for each task that ran there, towards the limit of five: the task that is present in crash after crash is given up before the sixth start. Power failures, which have no witness, and crashes that a start of other work explains do not count.

Test: 'a task that crashes executors long after its starts is started at most twice more after three crashes' fails before (8 starts). It replaces 'a task that ran for long before its executors crashed is repeated', which demanded eight starts after eight witnessed crashes and so forbade any limit; two tests keep what it guarded: the task is repeated after power failures, and when starts of other jobs explain the crashes.

--- a/src/lycheespool/controller/controller_runs.cpp
+++ b/src/lycheespool/controller/controller_runs.cpp
@@ -295,6 +295,9 @@
         const bool isSuspicious = it->second.mayHaveBegun()
             && (it->second.phase == RunPhase::ordered
                 || it->second.lastListedMs < it->second.answeredAtMs + startWindowMs);
+        // A crash that no start explains counts for all that ran there.
+        const bool isUnexplained = report && it->second.phase == RunPhase::confirmed && startingJobs.empty()
+            && it->second.lifetime == report->previousLifetime;
         // A start without an answer may have been sent to an executor that had crashed before.
         const bool causedCrash
             = startingJobs.size() == 1 && it->second.phase == RunPhase::confirmed && hasJustStarted(it->second, report);
@@ -307,7 +310,7 @@
         if (!job)
             continue;
         // Without a report of a newer lifetime the executor may have been cut off and still run.
-        if (report && isSuspicious && !isPlanned)
+        if (report && (isSuspicious || isUnexplained) && !isPlanned)
             recordLoss(*job, key, causedCrash, node, now);
         if (job->row.request.steps[key.task.position.step].isGang)
             stopGangOf(*job, key.task.position, key.run, "a member of the gang was lost");
--- a/src/lycheespool/dispatch/crash_limits.h
+++ b/src/lycheespool/dispatch/crash_limits.h
@@ -9,7 +9,8 @@
 struct CrashCounts {
     /*! @brief Crashes that only this work can have caused. */
     std::uint32_t crashes { 0 };
-    /*! @brief Lifetimes of executors that ended under a run which had not been seen at work, whatever the cause. */
+    /*! @brief Lifetimes of executors that ended under a run which had not been seen at work, or whose end the agent
+     * witnessed and no start of other work explains. */
     std::uint32_t losses { 0 };
 };
 
@@ -26,9 +27,9 @@
 /**
  * @brief Decides whether work is given up because it crashes the executors that start it.
  *
- * A crash ends all runs of an executor, and only the run that has just started is a likely cause. Losses without such
- * evidence, as in a power failure, count only towards the total, and runs that were seen at work do not count at all,
- * so that work that was merely there is repeated.
+ * A crash ends all runs of an executor, and a run that has just started is the likely cause. Crashes that no start
+ * explains count for all runs that were there, towards a higher limit. Power failures and crashes that a start explains
+ * do not count for runs that were seen at work, so that work that was merely there is repeated.
  *
  * @param counts What is known of the work.
  * @param limits The limits.
--- a/src/lycheespool/workload/job_progress.h
+++ b/src/lycheespool/workload/job_progress.h
@@ -42,7 +42,7 @@
     std::vector<RunPlacement> placements;
     /*! @brief Executors that crashed as a run of the task started on them, and no run of another job did. */
     std::uint32_t crashes { 0 };
-    /*! @brief Runs whose executors' lifetimes ended before the runs were seen at work. */
+    /*! @brief Lifetimes of executors that ended under a run of the task; see CrashCounts. */
     std::uint32_t losses { 0 };
     /*! @brief Run of the latest counted failure of a gang member; 0 for none. */
     std::uint64_t lastFailedRun { 0 };
--- a/test/lycheespool/controller/controller.cpp
+++ b/test/lycheespool/controller/controller.cpp
@@ -632,14 +632,65 @@
     }
 }
 
-// Guards against giving up work that was merely running when its executors crashed.
-TEST_CASE("a task that ran for long before its executors crashed is repeated")
+// Guards against a task without a limit that crashes each executor long after its start.
+TEST_CASE("a task that crashes executors long after its starts is started at most twice more after three crashes")
 {
     CrashingTask task { Fixture::job(), 2000 };
-    CHECK(task.play(8, CrashingTask::Witness::agent, false) == 8);
+    CHECK(task.play(8, CrashingTask::Witness::agent, false) == 5);
+    CHECK(task.state() == WorkloadState::failed);
+}
+
+// Guards against giving up work that power failures ended.
+TEST_CASE("a task that ran for long before power failures is repeated")
+{
+    CrashingTask task { Fixture::job(), 2000 };
+    CHECK(task.play(8, CrashingTask::Witness::none, false) == 8);
     CHECK(task.state() == WorkloadState::running);
 }
 
+// Guards against giving up work that was merely running when a start of other work crashed its executors.
+TEST_CASE("a task that ran for long is repeated when starts of other jobs crash its executors")
+{
+    Fixture f;
+    f.controller.addJob("long", Fixture::job(), {}, 0, Fixture::at(0).steady);
+    for (int i = 0; i < 8; ++i) {
+        const std::int64_t ms = 1000 + i * 4000;
+        const auto node = "node-" + std::to_string(i);
+        auto report = f.report(ms, node);
+        const auto startAll = [&](std::int64_t now) {
+            (void)f.controller.plan(Fixture::at(now));
+            f.storeAll();
+            const auto orders = f.controller.takeOrders(Fixture::at(now));
+            REQUIRE(orders.contains(node));
+            for (const auto& order : orders.at(node).orders) {
+                f.controller.onOutcome(node, report.lifetime,
+                    { order.task, order.run, RunOrderResult::started, {}, static_cast<std::uint64_t>(now) },
+                    Fixture::at(now));
+                report.running.push_back({ order.task, order.run, {}, 10 });
+            }
+        };
+        f.receive(report, ms);
+        startAll(ms);
+        report.sentAtMs = report.listedAtMs = static_cast<std::uint64_t>(ms + 1000);
+        f.receive(report, ms + 1000);
+        f.controller.addJob("starting-" + std::to_string(i), Fixture::job(), {}, 0, Fixture::at(ms).steady);
+        startAll(ms + 1000);
+        REQUIRE(report.running.size() == 2);
+        auto returned = f.report(ms + 3000, node);
+        returned.lifetime.startedUnixMs = 2;
+        returned.previousLifetime = report.lifetime;
+        returned.previousLostAtMs = static_cast<std::uint64_t>(ms + 1020);
+        f.receive(returned, ms + 3000);
+        f.controller.cancelJob("starting-" + std::to_string(i), Fixture::at(ms + 3000));
+        // The node takes no part in the next round.
+        returned.state = ExecutorState::draining;
+        f.receive(returned, ms + 3001);
+        f.storeAll();
+    }
+    CHECK(f.controller.jobs().at("long").progress.state == WorkloadState::running);
+    CHECK(f.controller.jobs().at("long").progress.at({ 0, 0, 0 }).losses == 0);
+}
+
 // Guards against counting a power failure once for each member of a gang.
 TEST_CASE("a gang that loses all members at once loses one run")
 {
