Let a list of runs state whether it is complete

What callers saw: over 100 tasks of a large job started again after they had ended, when an executor with more than 500 ends was cut off for 3 s.

Cause: the leader took a list with fewer than 500 ends for complete. The agent removes stored ends from the list that it keeps and reports the rest again with the same time, so a list that was cut off at 500 ends looked complete, and runs whose ends it omits were released as no longer listed.

A report of an older agent states nothing and is judged by its number of ends as before.

The simulation now also reports an end that is acknowledged as done after a later run of the task has started.

--- a/src/lycheespool/controller/controller_runs.cpp
+++ b/src/lycheespool/controller/controller_runs.cpp
@@ -13,8 +13,8 @@
 
 namespace {
 
-// Maximum number of ends in one list from an executor; a full list may omit later ends.
-constexpr std::size_t endsPerList = 500;
+// Number of ends from which a list of an agent that does not state its extent may omit later ends.
+constexpr std::size_t endsOfFullList = 500;
 constexpr auto startWindowMs = static_cast<std::uint64_t>(CrashLimits::startWindow.count());
 
 constexpr std::string_view endName(RunEndKind kind)
@@ -29,6 +29,13 @@
     return names[static_cast<std::size_t>(state)];
 }
 
+bool listsAllRuns(const NodeReport& report)
+{
+    if (report.listExtent == ListExtent::unstated)
+        return report.ended.size() < endsOfFullList;
+    return report.listExtent == ListExtent::complete;
+}
+
 /*! @brief The labels of an executor are its kind and its rack; the rack is the last one. */
 std::string rackOf(const std::vector<std::string>& labels) { return labels.empty() ? std::string {} : labels.back(); }
 
@@ -136,7 +143,7 @@
 /*! @brief Releases runs that the executor had and that a later list no longer contains. */
 void Controller::releaseUnlistedRuns(ExecutorView& node, const NodeReport& report)
 {
-    if (report.ended.size() >= endsPerList)
+    if (!listsAllRuns(report))
         return;
     std::set<RunKey> running;
     for (const auto& it : report.running) {
--- a/src/lycheespool/nodeagent/executor_control.h
+++ b/src/lycheespool/nodeagent/executor_control.h
@@ -86,6 +86,8 @@
     ExecutorAnswer answer;
     std::vector<RunningTask> running;
     std::vector<RunEnd> ended;
+    /*! @brief Complete only if the executor is known to have listed all its runs and ends. */
+    ListExtent extent { ListExtent::partial };
 };
 
 /**
--- a/src/lycheespool/nodeagent/node_agent.h
+++ b/src/lycheespool/nodeagent/node_agent.h
@@ -183,6 +183,7 @@
         m_unreachableAtMs = 0;
         m_running.clear();
         m_ended.clear();
+        m_listExtent = ListExtent::partial;
         m_listedAtMs = 0;
         m_endsStored = 0;
         m_newestEnd = 0;
@@ -257,6 +258,7 @@
         report.extendsLease = m_leaseClock.isExtending();
         report.previousLifetime = m_previousLifetime;
         report.previousLostAtMs = m_previousLostAtMs;
+        report.listExtent = m_listExtent;
         const auto lifetime = report.lifetime;
         m_reports.add();
         std::optional<NodeReportReply> reply;
@@ -340,6 +342,7 @@
             m_leaseClock.recordSample(*result.clockMs, BootClock {}.now());
         m_running = std::move(answer.running);
         m_ended = std::move(answer.ended);
+        m_listExtent = answer.extent;
         std::erase_if(m_ended, [&](const auto& it) { return it.number <= m_endsStored; });
         m_listedAtMs = clockMs(sent);
         if (!m_ended.empty() && m_ended.back().number > m_newestEnd)
@@ -518,6 +521,8 @@
     Epoch m_epoch;
     std::vector<RunningTask> m_running;
     std::vector<RunEnd> m_ended;
+    /*! @brief Extent of the lists as the executor sent them; m_ended omits ends that were stored since. */
+    ListExtent m_listExtent { ListExtent::partial };
     std::uint64_t m_listedAtMs { 0 };
     std::uint64_t m_endsStored { 0 };
     std::uint64_t m_newestEnd { 0 };
--- a/src/lycheespool/wire/node_messages.h
+++ b/src/lycheespool/wire/node_messages.h
@@ -58,6 +58,15 @@
     MSGPACK_DEFINE(number, task, run, kind, checkpoint)
 };
 
+/*! @brief Whether lists contain every run of the executor that is running or whose end is not acknowledged. */
+enum class ListExtent : std::uint8_t {
+    /*! @brief The sender does not say; agents before this field. */
+    unstated,
+    complete,
+    /*! @brief Further ends or runs may exist. */
+    partial,
+};
+
 /*! @brief Report of a node's agent to the leader. */
 struct NodeReport {
     static constexpr auto type = MessageType::nodeReport;
@@ -83,8 +92,10 @@
     Lifetime previousLifetime;
     /*! @brief Agent's clock when that lifetime stopped answering, ms. */
     std::uint64_t previousLostAtMs { 0 };
+    /*! @brief Extent of the executor's lists, which the agent's removal of stored ends does not change. */
+    ListExtent listExtent { ListExtent::unstated };
     MSGPACK_DEFINE(node, zone, state, lifetime, service, labels, capacity, remainingMs, sentAtMs, listedAtMs, running,
-        ended, extendsLease, previousLifetime, previousLostAtMs)
+        ended, extendsLease, previousLifetime, previousLostAtMs, listExtent)
 };
 
 /*! @brief Answer to NodeReport. */
@@ -185,3 +196,4 @@
 MSGPACK_ADD_ENUM(lycheespool::ExecutorState);
 MSGPACK_ADD_ENUM(lycheespool::RunEndKind);
 MSGPACK_ADD_ENUM(lycheespool::RunOrderResult);
+MSGPACK_ADD_ENUM(lycheespool::ListExtent);
--- a/test/lycheespool/controller/cluster_simulation.h
+++ b/test/lycheespool/controller/cluster_simulation.h
@@ -9,8 +9,10 @@
 #include <memory>
 #include <queue>
 #include <random>
+#include <ranges>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace lycheespool {
@@ -31,6 +33,9 @@
     int partitionMs { 0 };
     /*! @brief Mean time between two restarts of an executor, ms; 0 for none. */
     int restartMs { 0 };
+    /*! @brief Most ends in one list; each list is then also reported twice, the second time without the ends that were
+     * stored in between. 0 for lists of any length that are reported once. */
+    std::size_t endsPerList { 0 };
 };
 
 /*! @brief Size of a simulated cluster. */
@@ -156,6 +161,9 @@
         std::int64_t partitionedUntilMs { 0 };
         std::int64_t nextReportMs { 0 };
         std::uint64_t epoch { 0 };
+        /*! @brief Latest report, whose lists the agent keeps. */
+        NodeReport latest {};
+        bool isLatestRepeated { true };
     };
 
     [[nodiscard]] TimePoint steady() const { return TimePoint { std::chrono::milliseconds { m_nowMs } }; }
@@ -299,19 +307,9 @@
         if (m_nowMs < executor.nextReportMs || m_nowMs < executor.partitionedUntilMs || !m_controller)
             return;
         executor.nextReportMs = m_nowMs + reportEveryMs;
-        NodeReport report;
-        report.node = executor.node;
-        report.zone = "zone";
-        report.state = ExecutorState::ready;
-        report.lifetime = executor.lifetime;
-        report.service = "service";
-        report.labels = { "a", executor.rack };
-        report.capacity = capacity;
-        report.sentAtMs = static_cast<std::uint64_t>(m_nowMs);
-        report.listedAtMs = static_cast<std::uint64_t>(m_nowMs);
-        for (const auto& [key, run] : executor.runs)
-            report.running.push_back({ key.task.toString(), key.run, {}, percentOf(key, run) });
-        report.ended = executor.ended;
+        const bool repeats = m_faults.endsPerList > 0 && executor.latest.lifetime == executor.lifetime
+            && !std::exchange(executor.isLatestRepeated, true);
+        const auto report = repeats ? executor.latest : newReport(executor);
         executor.epoch = std::max<std::uint64_t>(executor.epoch, m_epoch);
         const auto term = m_term;
         at(m_nowMs + between(1, 30), [this, &executor, report, term, sent = m_nowMs] {
@@ -327,12 +325,36 @@
             executor.permitUntilMs = std::max(executor.permitUntilMs, sent + permitMs);
             for (const auto& it : executor.ended) {
                 if (it.number <= stored && it.number > executor.endsBeforeExpiry && it.kind == RunEndKind::done)
-                    m_acknowledgedDone.insert(*parseTaskName(it.task));
+                    acknowledgeDone(it);
             }
-            std::erase_if(executor.ended, [&](const auto& it) { return it.number <= stored; });
+            const auto isStored = [&](const auto& it) { return it.number <= stored; };
+            std::erase_if(executor.ended, isStored);
+            std::erase_if(executor.latest.ended, isStored);
         });
     }
 
+    [[nodiscard]] NodeReport newReport(Executor& executor) const
+    {
+        NodeReport report;
+        report.node = executor.node;
+        report.zone = "zone";
+        report.state = ExecutorState::ready;
+        report.lifetime = executor.lifetime;
+        report.service = "service";
+        report.labels = { "a", executor.rack };
+        report.capacity = capacity;
+        report.sentAtMs = static_cast<std::uint64_t>(m_nowMs);
+        report.listedAtMs = static_cast<std::uint64_t>(m_nowMs);
+        for (const auto& [key, run] : executor.runs)
+            report.running.push_back({ key.task.toString(), key.run, {}, percentOf(key, run) });
+        const auto limit = m_faults.endsPerList > 0 ? m_faults.endsPerList : executor.ended.size();
+        std::ranges::copy(executor.ended | std::views::take(limit), std::back_inserter(report.ended));
+        report.listExtent = report.ended.size() < executor.ended.size() ? ListExtent::partial : ListExtent::complete;
+        executor.latest = report;
+        executor.isLatestRepeated = false;
+        return report;
+    }
+
     [[nodiscard]] std::uint32_t percentOf(const RunKey& key, const Run& run) const
     {
         const auto work = m_jobs.at(key.task.job).workMs;
@@ -457,6 +479,16 @@
         run.isGang = step.isGang;
         run.fails = happens(m_faults.failure);
         executor.runs.emplace(key, run);
+        auto& latest = m_latestStarts[key.task];
+        latest = std::max(latest, key.run);
+    }
+
+    void acknowledgeDone(const RunEnd& end)
+    {
+        const auto name = *parseTaskName(end.task);
+        m_acknowledgedDone.insert(name);
+        if (m_latestStarts.at(name) > end.run)
+            violation("started again although done: " + end.task + " run " + std::to_string(end.run));
     }
 
     void checkStart(const Executor& executor, const RunKey& key, const SimulatedJob& job, const StepSpec& step)
@@ -527,6 +559,8 @@
     std::multimap<std::int64_t, std::function<void()>> m_events;
     std::set<TaskName> m_acknowledgedDone;
     std::set<TaskName> m_completedTasks;
+    /*! @brief Number of the latest run of each task that an executor started. */
+    std::map<TaskName, std::uint64_t> m_latestStarts;
     std::vector<std::string> m_violations;
     std::int64_t m_nowMs { 0 };
     std::int64_t m_lifetimes { 0 };
--- a/test/lycheespool/controller/controller.cpp
+++ b/test/lycheespool/controller/controller.cpp
@@ -116,6 +116,35 @@
     CHECK(f.controller.liveRuns().size() == 1);
 }
 
+// Guards against tasks that start again after they have ended: the agent removes stored ends from a list that was cut
+// off, and the rest looks like a whole list.
+TEST_CASE("a run is not released because a partial list without its stored ends does not show it")
+{
+    Fixture f;
+    (void)f.startOne(10);
+    auto report = f.report(100);
+    report.listExtent = ListExtent::partial;
+    f.receive(report, 101);
+    CHECK(f.controller.liveRuns().size() == 1);
+    report = f.report(200);
+    report.listExtent = ListExtent::complete;
+    f.receive(report, 201);
+    CHECK(f.controller.liveRuns().empty());
+}
+
+TEST_CASE("a full list of an agent that does not state its extent releases no run")
+{
+    Fixture f;
+    (void)f.startOne(10);
+    auto report = f.report(100);
+    for (std::uint64_t i = 1; i <= 500; ++i)
+        report.ended.push_back({ i, "unknown.0.0.0", i, RunEndKind::done, {} });
+    f.receive(report, 101);
+    CHECK(f.controller.liveRuns().size() == 1);
+    f.receive(f.report(200), 201);
+    CHECK(f.controller.liveRuns().empty());
+}
+
 TEST_CASE("a task is not treated as stalled while its executor does not answer the agent")
 {
     Fixture f;
--- a/test/lycheespool/controller/faults.cpp
+++ b/test/lycheespool/controller/faults.cpp
@@ -76,6 +76,14 @@
 
 TEST_CASE("without faults every job ends and no invariant is violated") { simulateSeeds({}, seedsPerCase()); }
 
+// Guards against ended tasks that start again because a list was cut off, and stored ends were removed from it.
+TEST_CASE("lists that omit ends and are reported again without the stored ones violate no invariant")
+{
+    SimulationFaults faults;
+    faults.endsPerList = 2;
+    simulateSeeds(faults, seedsPerCase());
+}
+
 // Guards against a list that arrives after a newer one and releases a run that started between the two.
 TEST_CASE("seed 7: an outdated list does not release a run that started after it") { CHECK(simulate(7, {}).empty()); }
 
--- /dev/null
+++ b/test/lycheespool/nodeagent/agent_reports.cpp
@@ -0,0 +1,139 @@
+#include "lycheespool/controller/lease_row.h"
+#include "lycheespool/net/rpc_server.h"
+#include "lycheespool/nodeagent/node_agent.h"
+#include "lycheespool/store/fake_row_store.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <functional>
+#include <mutex>
+
+using namespace lycheespool;
+using namespace std::chrono_literals;
+
+namespace {
+
+/*! @brief Executor whose answers the test sets; a model of ExecutorControl. */
+struct FakeExecutor {
+    /*! @brief Answers to the next calls; later calls have no answer. */
+    std::vector<HoldAnswer> answers;
+    std::vector<HoldRequest> holds;
+
+    [[nodiscard]] Awaitable<ExecutorAnswer> start(RunStart, Duration) { co_return ExecutorAnswer {}; }
+    [[nodiscard]] Awaitable<ExecutorAnswer> stop(RunStop, Duration) { co_return ExecutorAnswer {}; }
+    [[nodiscard]] Awaitable<HoldAnswer> hold(HoldRequest request, Duration)
+    {
+        holds.push_back(std::move(request));
+        HoldAnswer answer;
+        if (!answers.empty()) {
+            answer = std::move(answers.front());
+            answers.erase(answers.begin());
+        }
+        co_return answer;
+    }
+};
+
+static_assert(ExecutorControl<FakeExecutor>);
+
+HoldAnswer accepted(ListExtent extent = ListExtent::complete)
+{
+    HoldAnswer answer;
+    answer.answer.kind = ExecutorAnswerKind::accepted;
+    answer.answer.clockMs = 1000;
+    answer.extent = extent;
+    return answer;
+}
+
+/*! @brief An agent with an executor and a leader that stores all ends. */
+class Fixture {
+public:
+    Fixture()
+        : m_server { m_pool, { "127.0.0.1", 0 }, m_metrics,
+            [this](const auto& source, Envelope envelope) { answer(source, envelope); }, [](const auto&) {} }
+    {
+        m_server.start();
+        StoredRow row;
+        row.name = RowNames {}.lease();
+        row.value = packValue(LeaseRow { "leader", 1, m_server.address().toString(), 1 });
+        row.version = ++m_rows.version;
+        m_rows.rows[row.name] = row;
+        m_settings.node = "node";
+        m_agent = std::make_shared<NodeAgent<FakeRowStore, FakeExecutor>>(
+            m_context.get_executor(), m_settings, m_store, executor, RowNames {}, m_metrics);
+        m_agent->start();
+    }
+    ~Fixture() { m_server.stop(); }
+    Fixture(const Fixture&) = delete;
+    Fixture& operator=(const Fixture&) = delete;
+
+    void announce(std::int64_t startedUnixMs)
+    {
+        ExecutorAnnouncement announcement;
+        announcement.lifetime = { "executor", startedUnixMs };
+        announcement.sequence = 1;
+        m_agent->onAnnouncement(announcement);
+    }
+
+    /*! @brief Runs the agent until a report satisfies a condition; returns false if none does in 10 s. */
+    bool runUntil(const std::function<bool(const NodeReport&)>& condition)
+    {
+        const auto end = BootClock {}.now() + 10s;
+        while (BootClock {}.now() < end) {
+            m_context.run_for(5ms);
+            if (std::ranges::any_of(reports(), condition))
+                return true;
+        }
+        return false;
+    }
+
+    [[nodiscard]] std::vector<NodeReport> reports()
+    {
+        const std::lock_guard lock { m_mutex };
+        return m_reports;
+    }
+
+    FakeExecutor executor;
+
+private:
+    void answer(const std::shared_ptr<RpcConnection>& source, const Envelope& envelope)
+    {
+        const auto report = envelope.as<NodeReport>();
+        const std::lock_guard lock { m_mutex };
+        m_reports.push_back(report);
+        NodeReportReply reply;
+        reply.leads = true;
+        reply.active = true;
+        reply.epoch = Epoch { 1 };
+        reply.permitMs = report.extendsLease ? 7000 : 0;
+        reply.endsStored = report.ended.empty() ? 0 : report.ended.back().number;
+        source->send(reply, envelope.correlation);
+    }
+
+    std::mutex m_mutex;
+    std::vector<NodeReport> m_reports;
+    FakeRows m_rows;
+    FakeRowStore m_store { m_rows };
+    NodeSettings m_settings;
+    Metrics m_metrics;
+    IoPool m_pool { 1 };
+    RpcServer m_server;
+    asio::io_context m_context;
+    std::shared_ptr<NodeAgent<FakeRowStore, FakeExecutor>> m_agent;
+};
+
+}
+
+// Guards against ended tasks that start again: their ends did not fit into a list whose stored ends were removed.
+TEST_CASE("a list that was cut off stays partial after its stored ends were removed")
+{
+    Fixture f;
+    auto list = accepted(ListExtent::partial);
+    list.ended = { { 1, "job.0.0.0", 1, RunEndKind::done, {} } };
+    f.executor.answers = { list };
+    f.announce(1);
+    const auto isTrimmed = [](const NodeReport& it) { return it.listedAtMs > 0 && it.ended.empty(); };
+    REQUIRE(f.runUntil(isTrimmed));
+    const auto reports = f.reports();
+    CHECK(std::ranges::find_if(reports, isTrimmed)->listExtent == ListExtent::partial);
+}
--- a/test/lycheespool/wire/frame.cpp
+++ b/test/lycheespool/wire/frame.cpp
@@ -1,6 +1,7 @@
 #include "lycheespool/wire/frame.h"
 #include "lycheespool/core/error.h"
 #include "lycheespool/wire/messages.h"
+#include "lycheespool/wire/node_messages.h"
 
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
@@ -71,3 +72,17 @@
     CHECK_THROWS_AS((void)decodeFrameSize(std::string_view { "\xff\xff\xff\xff", 4 }), Error);
     CHECK_THROWS_AS((void)decodeFrameSize(std::string_view { "\0\0\0\0", 4 }), Error);
 }
+
+// Guards against reports of agents of the previous version that the leader cannot read during a rolling upgrade.
+TEST_CASE("a report without the extent of its lists leaves the extent unstated")
+{
+    NodeReport sent;
+    sent.node = "node";
+    sent.listExtent = ListExtent::complete;
+    msgpack::zone zone;
+    msgpack::object object { sent, zone };
+    CHECK(object.as<NodeReport>().listExtent == ListExtent::complete);
+    --object.via.array.size;
+    CHECK(object.as<NodeReport>().listExtent == ListExtent::unstated);
+    CHECK(object.as<NodeReport>().node == "node");
+}
