Extend a permit only on evidence of its executor

What callers saw: a job shown as running for ever with sound executors idle, after a machine lost power and only its agent returned.

Cause: an agent that knows of no executor reported that it extends a lease, since no call had failed, and the leader granted a permit for each such report. So the permits of the lost executor never expired and its runs were never released. The agent also used a permit that it had got for one lifetime for the next one.

Change: a permit is granted only to a report that names a lifetime which has answered the agent, and the agent uses it only for that lifetime. The leader checks this also for agents of earlier versions, which state that they extend a lease before the first answer. The leader keeps the runs of a silent lifetime until its last permit has expired, as before.

Tests: 'reports of an agent without an executor do not extend the permit of the executor that it had', 'an agent that was restarted extends the lease of its executor once the executor has answered it', two tests in agent_reports.cpp and one in lease_clock.cpp fail with the former conditions in grantPermit() and LeaseClock. The last check of 'the lease of an unresponsive executor is not extended until it responds again' demanded the fault: that a lifetime that has not answered yet extends a lease. It now demands that the lifetime counts as responding, and that it extends none.

--- a/src/lycheespool/controller/controller.h
+++ b/src/lycheespool/controller/controller.h
@@ -102,11 +102,16 @@
     void onReport(const NodeReport& report, const ClockReading& now);
 
     /**
-     * @brief Records a permit for the agent of a node; call it for each reply that carries one.
-     * @param node The node.
+     * @brief Grants a permit to extend the lease of the executor that a report proves; call it for each reply.
+     *
+     * A report that proves no executor gets none, so that the runs of a lost executor are released while its agent
+     * reports.
+     *
+     * @param report The report, which onReport() has processed.
      * @param now Time at which the reply is sent.
+     * @return Length of the permit, 0 for none.
      */
-    void grantPermit(const std::string& node, TimePoint now);
+    [[nodiscard]] Duration grantPermit(const NodeReport& report, TimePoint now);
 
     /**
      * @brief Returns the number up to which the run ends of a node are stored.
--- a/src/lycheespool/controller/controller_runs.cpp
+++ b/src/lycheespool/controller/controller_runs.cpp
@@ -63,7 +63,7 @@
                 { "from", executorStateName(node.state) }, { "to", executorStateName(report.state) },
                 { "remaining_ms", report.remainingMs } });
     }
-    if (report.extendsLease && std::exchange(node.isLost, false))
+    if (report.provesExecutor() && std::exchange(node.isLost, false))
         logEvent("executor_regained", { { "node", report.node }, { "executor", report.lifetime.executor } });
     node.zone = report.zone;
     node.state = report.state;
@@ -378,9 +378,13 @@
         endJob(job, WorkloadState::failed, "executors crashed under task " + key.task.toString(), now);
 }
 
-void Controller::grantPermit(const std::string& node, TimePoint now)
+Duration Controller::grantPermit(const NodeReport& report, TimePoint now)
 {
-    m_nodes[node].permitsExpireAt = now + m_settings.permitExpiryBound();
+    auto& node = m_nodes[report.node];
+    if (!report.provesExecutor() || report.lifetime != node.lifetime)
+        return {};
+    node.permitsExpireAt = now + m_settings.permitExpiryBound();
+    return m_settings.permitDuration;
 }
 
 std::uint64_t Controller::endsStored(const std::string& node)
--- a/src/lycheespool/controller/leader_host.h
+++ b/src/lycheespool/controller/leader_host.h
@@ -129,12 +129,9 @@
             known->close();
         known = connection;
         m_controller->onReport(report, now);
-        // Without extendsLease no permit is granted, so runs of a lost executor are released while its agent reports.
-        if (report.extendsLease) {
-            m_controller->grantPermit(report.node, now.steady);
-            reply.permitMs = static_cast<std::uint64_t>(
-                std::chrono::duration_cast<std::chrono::milliseconds>(m_settings.permitDuration).count());
-        }
+        const auto permit = m_controller->grantPermit(report, now.steady);
+        reply.permitMs
+            = static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(permit).count());
         reply.endsStored = m_controller->endsStored(report.node);
         m_wakeUp.wake();
         return reply;
--- a/src/lycheespool/nodeagent/lease_clock.h
+++ b/src/lycheespool/nodeagent/lease_clock.h
@@ -26,11 +26,12 @@
     {
     }
 
-    /*! @brief Discards the sample; the executor's clock restarts in each lifetime. */
+    /*! @brief Discards the sample and the permit of the previous lifetime; the executor's clock restarts in each. */
     void reset()
     {
         m_sample.reset();
         m_isResponding = true;
+        m_permitUntil = noPermit;
     }
 
     /**
@@ -53,8 +54,12 @@
      */
     void setResponding(bool isResponding) { m_isResponding = isResponding; }
 
-    /*! @brief Returns true if leases are extended. */
-    [[nodiscard]] bool isExtending() const { return m_isResponding; }
+    /*! @brief Returns true unless a call has failed since the latest answer; also before the first call. */
+    [[nodiscard]] bool isResponding() const { return m_isResponding; }
+
+    /*! @brief Returns true if the executor of this lifetime has answered and responds, so that its lease is extended.
+     */
+    [[nodiscard]] bool isExtending() const { return m_sample && m_isResponding; }
 
     /**
      * @brief Checks if the permit is valid.
@@ -82,6 +87,9 @@
     [[nodiscard]] bool hasSample() const { return m_sample.has_value(); }
 
 private:
+    /*! @brief Before any time that the clock may show, which starts at zero. */
+    static constexpr TimePoint noPermit { -std::chrono::hours { 24 } };
+
     struct Sample {
         std::int64_t clockMs;
         TimePoint received;
@@ -90,7 +98,7 @@
     Duration m_maxLease;
     std::optional<Sample> m_sample;
     bool m_isResponding { true };
-    TimePoint m_permitUntil { -std::chrono::hours { 24 } };
+    TimePoint m_permitUntil { noPermit };
 };
 
 }
--- a/src/lycheespool/nodeagent/node_agent.h
+++ b/src/lycheespool/nodeagent/node_agent.h
@@ -272,10 +272,16 @@
         if (!reply->leads || reply->epoch < m_epoch)
             co_return reply->leads ? std::nullopt : reply;
         m_epoch = reply->epoch;
-        if (reply->permitMs > 0)
+        if (lifetime != m_executorState.lifetime)
+            co_return reply;
+        // A permit holds only for the lifetime that the report names.
+        if (reply->permitMs > 0) {
+            const bool isFirst = !m_leaseClock.isPermitted(sent);
             m_leaseClock.recordPermit(sent, std::chrono::milliseconds { reply->permitMs });
-        if (lifetime == m_executorState.lifetime)
-            acknowledge(reply->endsStored);
+            if (isFirst)
+                m_holdDue.wake();
+        }
+        acknowledge(reply->endsStored);
         co_return reply;
     }
 
@@ -298,7 +304,8 @@
                 continue;
             }
             const bool answered = co_await hold();
-            if (!answered || !m_ended.empty())
+            // The first permit follows the first answer, and the lease should not wait for the end of a long call.
+            if (!answered || !m_ended.empty() || !m_leaseClock.isPermitted(BootClock {}.now()))
                 co_await m_holdDue.wait(holdRetryDelay);
         }
     }
@@ -323,7 +330,7 @@
         const bool isOther = result.kind == ExecutorAnswerKind::wrongLifetime
             || (result.startedUnixMs && *result.startedUnixMs != lifetime.startedUnixMs);
         if (result.kind != ExecutorAnswerKind::accepted || isOther) {
-            if (m_leaseClock.isExtending()) {
+            if (m_leaseClock.isResponding()) {
                 m_leaseClock.setResponding(false);
                 m_unreachableAtMs = clockMs(BootClock {}.now());
                 logEvent("executor_unreachable",
@@ -332,10 +339,10 @@
             }
             co_return false;
         }
-        if (!m_leaseClock.isExtending()) {
+        const bool wasExtending = m_leaseClock.isExtending();
+        if (!m_leaseClock.isResponding()) {
             m_leaseClock.setResponding(true);
             m_unreachableAtMs = 0;
-            m_reportDue.wake();
             logEvent("executor_reachable_again", { { "executor", lifetime.executor } });
         }
         if (result.clockMs)
@@ -345,6 +352,8 @@
         m_listExtent = answer.extent;
         std::erase_if(m_ended, [&](const auto& it) { return it.number <= m_endsStored; });
         m_listedAtMs = clockMs(sent);
+        if (!wasExtending)
+            m_reportDue.wake();
         if (!m_ended.empty() && m_ended.back().number > m_newestEnd)
             m_reportDue.wake();
         m_newestEnd = m_ended.empty() ? m_newestEnd : m_ended.back().number;
@@ -495,7 +504,7 @@
             if (answer.kind == ExecutorAnswerKind::refused)
                 co_return RunOrderOutcome { {}, 0, RunOrderResult::unresolved, answer.reason, 0, mayHaveBegun };
             // The leader repeats the order when the executor responds to its agent again.
-            if (!m_leaseClock.isExtending())
+            if (!m_leaseClock.isResponding())
                 break;
             co_await sleepFor(std::exchange(retryDelay, 2 * retryDelay));
         }
--- a/src/lycheespool/wire/node_messages.h
+++ b/src/lycheespool/wire/node_messages.h
@@ -86,7 +86,7 @@
     std::uint64_t listedAtMs { 0 };
     std::vector<RunningTask> running;
     std::vector<RunEnd> ended;
-    /*! @brief False while the executor does not answer the agent, which then extends no lease. */
+    /*! @brief False until the executor has answered the agent, and while it does not; no lease is extended then. */
     bool extendsLease { true };
     /*! @brief Lifetime that this agent process knew before the present one and that ended without a departure. */
     Lifetime previousLifetime;
@@ -96,6 +96,17 @@
     ListExtent listExtent { ListExtent::unstated };
     MSGPACK_DEFINE(node, zone, state, lifetime, service, labels, capacity, remainingMs, sentAtMs, listedAtMs, running,
         ended, extendsLease, previousLifetime, previousLostAtMs, listExtent)
+
+    /**
+     * @brief Checks if the report is evidence of the executor that it names, and not only of the agent.
+     * @return True if this executor has answered the agent and its lease is to be extended.
+     */
+    [[nodiscard]] bool provesExecutor() const
+    {
+        // Earlier versions of the agent set extendsLease also before the first answer, while there are no lists.
+        const bool isPresent = state == ExecutorState::ready || state == ExecutorState::draining;
+        return extendsLease && isPresent && lifetime.isKnown() && listedAtMs > 0;
+    }
 };
 
 /*! @brief Answer to NodeReport. */
--- a/test/lycheespool/controller/cluster_simulation.h
+++ b/test/lycheespool/controller/cluster_simulation.h
@@ -316,12 +316,11 @@
             if (!m_controller || m_term != term)
                 return;
             m_controller->onReport(report, clockReading());
-            m_controller->grantPermit(report.node, steady());
+            const auto permit = m_controller->grantPermit(report, steady());
             const auto stored = m_controller->endsStored(report.node);
             if (executor.lifetime != report.lifetime || m_nowMs < executor.partitionedUntilMs)
                 return;
-            const auto permitMs
-                = std::chrono::duration_cast<std::chrono::milliseconds>(m_settings.permitDuration).count();
+            const auto permitMs = std::chrono::duration_cast<std::chrono::milliseconds>(permit).count();
             executor.permitUntilMs = std::max(executor.permitUntilMs, sent + permitMs);
             for (const auto& it : executor.ended) {
                 if (it.number <= stored && it.number > executor.endsBeforeExpiry && it.kind == RunEndKind::done)
--- a/test/lycheespool/controller/controller.cpp
+++ b/test/lycheespool/controller/controller.cpp
@@ -51,7 +51,7 @@
     void receive(const NodeReport& it, std::int64_t ms)
     {
         controller.onReport(it, at(ms));
-        controller.grantPermit(it.node, at(ms).steady);
+        (void)controller.grantPermit(it, at(ms).steady);
     }
 
     void storeAll()
@@ -252,6 +252,52 @@
     CHECK(f.controller.nodes().at("node-0").isLost);
 }
 
+// Guards against jobs that wait indefinitely for an executor that was lost together with its agent.
+TEST_CASE("reports of an agent without an executor do not extend the permit of the executor that it had")
+{
+    Fixture f;
+    (void)f.startOne(10);
+    const ControllerSettings settings;
+    const auto safe = std::chrono::duration_cast<std::chrono::milliseconds>(settings.previousPermitsExpiryBound());
+    for (std::int64_t ms = 800; ms < 30 + safe.count(); ms += 800) {
+        NodeReport report;
+        report.node = "node-0";
+        report.sentAtMs = static_cast<std::uint64_t>(ms);
+        f.receive(report, ms);
+    }
+    f.controller.superviseRuns(Fixture::at(30 + safe.count()));
+    CHECK(f.controller.liveRuns().empty());
+}
+
+// Guards against a second run while the lease of the first may last, and against runs that an executor without an
+// answer holds indefinitely.
+TEST_CASE("an agent that was restarted extends the lease of its executor once the executor has answered it")
+{
+    for (const bool answers : { true, false }) {
+        CAPTURE(answers);
+        Fixture f;
+        const auto run = f.startOne(10);
+        const auto reportEvery = [&](std::int64_t begin, std::int64_t end, bool isListed) {
+            for (auto ms = begin; ms < end; ms += 500) {
+                auto report = f.report(ms);
+                report.running = { run };
+                if (!isListed) {
+                    report.listedAtMs = 0;
+                    report.running.clear();
+                }
+                f.receive(report, ms);
+                f.controller.superviseRuns(Fixture::at(ms));
+            }
+        };
+        reportEvery(500, 20000, true);
+        reportEvery(20000, 27000, false);
+        CHECK(f.controller.liveRuns().size() == 1);
+        reportEvery(27000, 40000, answers);
+        CHECK(f.controller.liveRuns().size() == (answers ? 1 : 0));
+        CHECK(f.controller.nodes().at("node-0").isLost == !answers);
+    }
+}
+
 TEST_CASE("a zone that is out of service and a draining executor get no task")
 {
     Fixture f;
--- a/test/lycheespool/nodeagent/agent_reports.cpp
+++ b/test/lycheespool/nodeagent/agent_reports.cpp
@@ -6,6 +6,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <atomic>
 #include <functional>
 #include <mutex>
 
@@ -25,6 +26,7 @@
     [[nodiscard]] Awaitable<HoldAnswer> hold(HoldRequest request, Duration)
     {
         holds.push_back(std::move(request));
+        co_await sleepFor(5ms);
         HoldAnswer answer;
         if (!answers.empty()) {
             answer = std::move(answers.front());
@@ -93,7 +95,10 @@
         return m_reports;
     }
 
+    void runFor(Duration time) { m_context.run_for(std::chrono::duration_cast<std::chrono::milliseconds>(time)); }
+
     FakeExecutor executor;
+    std::atomic<bool> grantsPermits { true };
 
 private:
     void answer(const std::shared_ptr<RpcConnection>& source, const Envelope& envelope)
@@ -105,7 +110,7 @@
         reply.leads = true;
         reply.active = true;
         reply.epoch = Epoch { 1 };
-        reply.permitMs = report.extendsLease ? 7000 : 0;
+        reply.permitMs = grantsPermits ? 7000 : 0;
         reply.endsStored = report.ended.empty() ? 0 : report.ended.back().number;
         source->send(reply, envelope.correlation);
     }
@@ -137,3 +142,36 @@
     const auto reports = f.reports();
     CHECK(std::ranges::find_if(reports, isTrimmed)->listExtent == ListExtent::partial);
 }
+
+// Guards against an agent that keeps the lease of a lost executor alive in place of this executor.
+TEST_CASE("an agent asks for a permit only after the executor of this lifetime has answered")
+{
+    Fixture f;
+    REQUIRE(f.runUntil([](const NodeReport& it) { return it.state == ExecutorState::absent; }));
+    f.announce(1);
+    REQUIRE(f.runUntil([](const NodeReport& it) { return it.lifetime.isKnown(); }));
+    CHECK(std::ranges::none_of(f.reports(), &NodeReport::extendsLease));
+    f.executor.answers.assign(3, accepted());
+    CHECK(f.runUntil([](const NodeReport& it) { return it.extendsLease && it.provesExecutor(); }));
+}
+
+// Guards against a lease of a new executor that lasts longer than the leader knows.
+TEST_CASE("a lease is extended only by a permit for its own lifetime")
+{
+    Fixture f;
+    f.executor.answers.assign(20, accepted());
+    f.announce(1);
+    const auto hasLease = [&](std::int64_t started) {
+        return std::ranges::any_of(f.executor.holds,
+            [&](const auto& it) { return it.lifetime.startedUnixMs == started && it.leaseEndMs.has_value(); });
+    };
+    REQUIRE(f.runUntil([&](const NodeReport&) { return hasLease(1); }));
+    f.grantsPermits = false;
+    f.executor.answers.assign(20, accepted());
+    f.announce(2);
+    REQUIRE(f.runUntil([](const NodeReport& it) { return it.lifetime.startedUnixMs == 2 && it.provesExecutor(); }));
+    f.runFor(300ms);
+    CHECK_FALSE(hasLease(2));
+    f.grantsPermits = true;
+    CHECK(f.runUntil([&](const NodeReport&) { return hasLease(2); }));
+}
--- a/test/lycheespool/nodeagent/lease_clock.cpp
+++ b/test/lycheespool/nodeagent/lease_clock.cpp
@@ -60,7 +60,23 @@
     clock.setResponding(true);
     CHECK(clock.leaseEndMs(start + 1s) == 12000);
     clock.setResponding(false);
-    // No call to the next lifetime has failed yet.
     clock.reset();
+    CHECK(clock.isResponding());
+    CHECK_FALSE(clock.isExtending());
+}
+
+// Guards against runs that are never declared lost because their agent, and not their executor, extends the lease.
+TEST_CASE("no lease is extended before the executor of this lifetime has answered and got a permit")
+{
+    LeaseClock clock { 10s };
+    CHECK_FALSE(clock.isExtending());
+    clock.recordPermit(start, 7s);
+    CHECK_FALSE(clock.isExtending());
+    clock.recordSample(5000, start);
     CHECK(clock.isExtending());
+    clock.reset();
+    CHECK_FALSE(clock.isPermitted(start));
+    clock.recordSample(10, start);
+    CHECK(clock.isExtending());
+    CHECK_FALSE(clock.leaseEndMs(start));
 }
