--- a/src/lycheespool/nodeagent/node_agent.h
+++ b/src/lycheespool/nodeagent/node_agent.h
@@ -183,6 +183,7 @@
         m_unreachableAtMs = 0;
         m_running.clear();
         m_ended.clear();
+        m_listExtent = ListExtent::partial;
         m_listedAtMs = 0;
         m_endsStored = 0;
         m_newestEnd = 0;
@@ -257,6 +258,7 @@
         report.extendsLease = m_leaseClock.isExtending();
         report.previousLifetime = m_previousLifetime;
         report.previousLostAtMs = m_previousLostAtMs;
+        report.listExtent = m_listExtent;
         const auto lifetime = report.lifetime;
         m_reports.add();
         std::optional<NodeReportReply> reply;
@@ -270,10 +272,16 @@
         if (!reply->leads || reply->epoch < m_epoch)
             co_return reply->leads ? std::nullopt : reply;
         m_epoch = reply->epoch;
-        if (reply->permitMs > 0)
+        if (lifetime != m_executorState.lifetime)
+            co_return reply;
+        // A permit holds only for the lifetime that the report names.
+        if (reply->permitMs > 0) {
+            const bool isFirst = !m_leaseClock.isPermitted(sent);
             m_leaseClock.recordPermit(sent, std::chrono::milliseconds { reply->permitMs });
-        if (lifetime == m_executorState.lifetime)
-            acknowledge(reply->endsStored);
+            if (isFirst)
+                m_holdDue.wake();
+        }
+        acknowledge(reply->endsStored);
         co_return reply;
     }
 
@@ -296,7 +304,8 @@
                 continue;
             }
             const bool answered = co_await hold();
-            if (!answered || !m_ended.empty())
+            // The first permit follows the first answer, and the lease should not wait for the end of a long call.
+            if (!answered || !m_ended.empty() || !m_leaseClock.isPermitted(BootClock {}.now()))
                 co_await m_holdDue.wait(holdRetryDelay);
         }
     }
@@ -321,7 +330,7 @@
         const bool isOther = result.kind == ExecutorAnswerKind::wrongLifetime
             || (result.startedUnixMs && *result.startedUnixMs != lifetime.startedUnixMs);
         if (result.kind != ExecutorAnswerKind::accepted || isOther) {
-            if (m_leaseClock.isExtending()) {
+            if (m_leaseClock.isResponding()) {
                 m_leaseClock.setResponding(false);
                 m_unreachableAtMs = clockMs(BootClock {}.now());
                 logEvent("executor_unreachable",
@@ -330,18 +339,21 @@
             }
             co_return false;
         }
-        if (!m_leaseClock.isExtending()) {
+        const bool wasExtending = m_leaseClock.isExtending();
+        if (!m_leaseClock.isResponding()) {
             m_leaseClock.setResponding(true);
             m_unreachableAtMs = 0;
-            m_reportDue.wake();
             logEvent("executor_reachable_again", { { "executor", lifetime.executor } });
         }
         if (result.clockMs)
             m_leaseClock.recordSample(*result.clockMs, BootClock {}.now());
         m_running = std::move(answer.running);
         m_ended = std::move(answer.ended);
+        m_listExtent = answer.extent;
         std::erase_if(m_ended, [&](const auto& it) { return it.number <= m_endsStored; });
         m_listedAtMs = clockMs(sent);
+        if (!wasExtending)
+            m_reportDue.wake();
         if (!m_ended.empty() && m_ended.back().number > m_newestEnd)
             m_reportDue.wake();
         m_newestEnd = m_ended.empty() ? m_newestEnd : m_ended.back().number;
@@ -492,7 +504,7 @@
             if (answer.kind == ExecutorAnswerKind::refused)
                 co_return RunOrderOutcome { {}, 0, RunOrderResult::unresolved, answer.reason, 0, mayHaveBegun };
             // The leader repeats the order when the executor responds to its agent again.
-            if (!m_leaseClock.isExtending())
+            if (!m_leaseClock.isResponding())
                 break;
             co_await sleepFor(std::exchange(retryDelay, 2 * retryDelay));
         }
@@ -518,6 +530,8 @@
     Epoch m_epoch;
     std::vector<RunningTask> m_running;
     std::vector<RunEnd> m_ended;
+    /*! @brief Extent of the lists as the executor sent them; m_ended omits ends that were stored since. */
+    ListExtent m_listExtent { ListExtent::partial };
     std::uint64_t m_listedAtMs { 0 };
     std::uint64_t m_endsStored { 0 };
     std::uint64_t m_newestEnd { 0 };
--- a/src/lycheespool/wire/node_messages.h
+++ b/src/lycheespool/wire/node_messages.h
@@ -58,6 +58,15 @@
     MSGPACK_DEFINE(number, task, run, kind, checkpoint)
 };
 
+/*! @brief Whether lists contain every run of the executor that is running or whose end is not acknowledged. */
+enum class ListExtent : std::uint8_t {
+    /*! @brief The sender does not say; agents before this field. */
+    unstated,
+    complete,
+    /*! @brief Further ends or runs may exist. */
+    partial,
+};
+
 /*! @brief Report of a node's agent to the leader. */
 struct NodeReport {
     static constexpr auto type = MessageType::nodeReport;
@@ -77,14 +86,27 @@
     std::uint64_t listedAtMs { 0 };
     std::vector<RunningTask> running;
     std::vector<RunEnd> ended;
-    /*! @brief False while the executor does not answer the agent, which then extends no lease. */
+    /*! @brief False until the executor has answered the agent, and while it does not; no lease is extended then. */
     bool extendsLease { true };
     /*! @brief Lifetime that this agent process knew before the present one and that ended without a departure. */
     Lifetime previousLifetime;
     /*! @brief Agent's clock when that lifetime stopped answering, ms. */
     std::uint64_t previousLostAtMs { 0 };
+    /*! @brief Extent of the executor's lists, which the agent's removal of stored ends does not change. */
+    ListExtent listExtent { ListExtent::unstated };
     MSGPACK_DEFINE(node, zone, state, lifetime, service, labels, capacity, remainingMs, sentAtMs, listedAtMs, running,
-        ended, extendsLease, previousLifetime, previousLostAtMs)
+        ended, extendsLease, previousLifetime, previousLostAtMs, listExtent)
+
+    /**
+     * @brief Checks if the report is evidence of the executor that it names, and not only of the agent.
+     * @return True if this executor has answered the agent and its lease is to be extended.
+     */
+    [[nodiscard]] bool provesExecutor() const
+    {
+        // Earlier versions of the agent set extendsLease also before the first answer, while there are no lists.
+        const bool isPresent = state == ExecutorState::ready || state == ExecutorState::draining;
+        return extendsLease && isPresent && lifetime.isKnown() && listedAtMs > 0;
+    }
 };
 
 /*! @brief Answer to NodeReport. */
@@ -185,3 +207,4 @@
 MSGPACK_ADD_ENUM(lycheespool::ExecutorState);
 MSGPACK_ADD_ENUM(lycheespool::RunEndKind);
 MSGPACK_ADD_ENUM(lycheespool::RunOrderResult);
+MSGPACK_ADD_ENUM(lycheespool::ListExtent);
