Keep each progress row within the row limit of the store

Callers saw that no job went on after one of 1,400 small tasks was handed in (LOST). Its progress row stores each placement and grew to 68,415 bytes; the store refused it, and with it each transaction that it shared with other jobs.

The leader now reads `rowBytes` and derives from the encoded size of a task how many tasks of a job may be started and not done; further tasks wait. A task that was started keeps its room until it is done, so it can always start again. Checkpoints longer than the reserved room are left out of a full row; the leader keeps them in memory. A gang larger than a row ends its job with a clear error. The limit applies to the base64 text of a row. The format of rows is unchanged.

A transaction is limited to 1 MB as well as in rows, and begins behind the job that was stored last. After a refusal for good (4xx) the rows are written one by one. A refused row is counted and logged; starts of its job that were not ordered are withdrawn, and none is planned for 5 s.

A failed commit of a full batch was repeated without a pause; it now waits like others.

--- a/src/lycheespool/cluster/node_settings.h
+++ b/src/lycheespool/cluster/node_settings.h
@@ -3,6 +3,7 @@
 #include "lycheespool/core/clock.h"
 #include "lycheespool/net/address.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -52,6 +53,8 @@
     /*! @brief Messaging addresses of some entries; may be outdated. */
     std::vector<Address> seeds;
     Address store;
+    /*! @brief Maximum size of a row's value in the store, in bytes. */
+    std::size_t rowBytes { 65536 };
     /*! @brief Address of the executor on this VM. */
     std::optional<Address> executor;
     /*! @brief Service of the executor on this VM. */
--- a/src/lycheespool/controller/controller.h
+++ b/src/lycheespool/controller/controller.h
@@ -35,6 +35,9 @@
     std::uint64_t rowVersion { 0 };
     std::uint64_t revision { 0 };
     std::string value;
+
+    /*! @brief Returns an upper bound of the size that the write adds to a transaction's body, bytes. */
+    [[nodiscard]] std::size_t transactionBytes() const;
 };
 
 /**
@@ -139,9 +142,9 @@
     std::optional<std::int64_t> plan(const ClockReading& now);
 
     /**
-     * @brief Returns rows whose state in memory differs from the stored one.
+     * @brief Returns rows whose state in memory differs from the stored one and that fit into one transaction.
      * @param limit Maximum number of rows.
-     * @return The rows.
+     * @return The rows; a row that was refused before is returned alone, and only after it has changed.
      */
     [[nodiscard]] std::vector<ProgressWrite> pendingWrites(std::size_t limit) const;
 
@@ -152,6 +155,23 @@
      */
     void markStored(const ProgressWrite& write, std::uint64_t rowVersion);
 
+    /**
+     * @brief Checks if pendingWrites() would return rows.
+     * @return True if it would.
+     */
+    [[nodiscard]] bool hasPendingWrites() const;
+
+    /**
+     * @brief Records that the store refused a transaction for good.
+     *
+     * The rows of a larger transaction are then written one by one. A single refused row holds up its job: starts that
+     * were not ordered are withdrawn, and none is planned for a while.
+     *
+     * @param writes The rows of the transaction.
+     * @param now Present time.
+     */
+    void onWritesRefused(const std::vector<ProgressWrite>& writes, const ClockReading& now);
+
     /**
      * @brief Finds ended jobs whose status retention has passed and that have no live runs.
      * @param now Present time.
@@ -216,6 +236,7 @@
     void markChanged(ManagedWorkload& job) { ++job.revision; }
     void endJob(ManagedWorkload& job, WorkloadState state, const std::string& reason, const ClockReading& now);
     void completeIfDone(ManagedWorkload& job, const ClockReading& now);
+    [[nodiscard]] ProgressWrite writeOf(const ManagedWorkload& job) const;
     [[nodiscard]] const QueuePolicy& policyOf(const ManagedWorkload& job) const;
     [[nodiscard]] ManagedWorkload* findJob(const std::string& id);
 
@@ -252,6 +273,9 @@
     void addStartRequests(std::vector<WaitingStep>& steps, ManagedWorkload& job, std::uint32_t occurrence,
         std::uint32_t step, bool isGuaranteed, std::int64_t ageMs, std::int64_t readyMs, TimePoint now);
     void addRequestsByFailures(std::vector<WaitingStep>& steps, WaitingStep step, TimePoint now);
+    [[nodiscard]] std::size_t maxOpenTasks(const ManagedWorkload& job) const;
+    [[nodiscard]] std::optional<std::string> findRowFault(const ManagedWorkload& job) const;
+    [[nodiscard]] std::size_t startableTasks(const ManagedWorkload& job) const;
     [[nodiscard]] bool acceptsWork(const ExecutorView& node, TimePoint now) const;
     [[nodiscard]] std::vector<double> criticalPathsMs(const ManagedWorkload& job) const;
     [[nodiscard]] NodeReliability trustOf(const ExecutorView& node, TimePoint now) const;
@@ -278,6 +302,13 @@
     std::map<std::string, ManagedWorkload> m_jobs;
     Runs m_runs;
     std::map<std::string, ExecutorView> m_nodes;
+    /*! @brief Longest executor id and node name among the nodes, bytes. */
+    std::size_t m_maxExecutorBytes { 0 };
+    std::size_t m_maxNodeBytes { 0 };
+    /*! @brief Job whose row was stored last; the next transaction begins behind it, so that each job has its turn. */
+    std::string m_lastStoredJob;
+    /*! @brief Number of rows that are still to be written one by one. */
+    std::size_t m_singleWrites { 0 };
     DurationModel m_durations;
     NodeSpeeds m_speeds;
     Counter& m_runsPlanned;
@@ -290,6 +321,7 @@
     Counter& m_runsStalled;
     Counter& m_runsMoved;
     Counter& m_unknownRunsStopped;
+    Counter& m_writesRefused;
     LatencyHistogram& m_waitMs;
     LatencyHistogram& m_completionMs;
     LatencyHistogram& m_failureMs;
--- a/src/lycheespool/controller/controller_planning.cpp
+++ b/src/lycheespool/controller/controller_planning.cpp
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <ranges>
 #include <string_view>
 #include <tuple>
 
@@ -27,6 +28,9 @@
 // Longest time that a guaranteed gang waits for a single rack before its first start; that start must happen within the
 // reclaim bound of about 2.7 s.
 constexpr std::int64_t guaranteedRackWaitMs = 1000;
+// Room in the progress row for the checkpoint of a task, bytes; executors use 16. Longer ones are left out of a full
+// row.
+constexpr std::size_t checkpointBytes = 32;
 
 double coreEquivalent(const ResourceVector& amount)
 {
@@ -76,9 +80,13 @@
     std::vector<WaitingStep> waiting;
     const auto guaranteed = guaranteedJobs();
     for (auto& [id, job] : m_jobs) {
-        if (isEnded(job.progress.state))
+        if (isEnded(job.progress.state) || now.steady < job.heldUntil)
             continue;
         const auto& request = job.row.request;
+        if (const auto fault = findRowFault(job)) {
+            endJob(job, WorkloadState::failed, *fault, now);
+            continue;
+        }
         for (std::uint32_t k = 0; k < request.occurrenceCount(); ++k) {
             auto since = job.row.acceptedUnixMs;
             if (request.occurrences > 0) {
@@ -177,6 +185,40 @@
     addRequestsByFailures(steps, { rank, input, readyMs, &job, occurrence, step, {}, std::move(request) }, now);
 }
 
+/*! @brief Returns how many tasks of a job may be started and not done, so that its progress row holds them all. */
+std::size_t Controller::maxOpenTasks(const ManagedWorkload& job) const
+{
+    const bool savesCheckpoints = std::ranges::any_of(job.row.request.steps, &StepSpec::savesCheckpoints);
+    const auto taskBytes
+        = JobProgress::maxTaskBytes(m_maxExecutorBytes, m_maxNodeBytes, savesCheckpoints ? checkpointBytes : 0);
+    const auto fixedBytes = job.progress.maxFixedBytes(job.row.queue, job.row.workspace);
+    return m_settings.maxProgressBytes > fixedBytes ? (m_settings.maxProgressBytes - fixedBytes) / taskBytes : 0;
+}
+
+/*! @brief Finds the reason why a job that has not started can never run. */
+std::optional<std::string> Controller::findRowFault(const ManagedWorkload& job) const
+{
+    if (job.progress.state != WorkloadState::pending)
+        return std::nullopt;
+    const auto tasksAtOnce = [](const StepSpec& it) { return it.isGang ? it.tasks : 1U; };
+    const auto largest = std::ranges::max(job.row.request.steps | std::views::transform(tasksAtOnce));
+    const auto maxOpen = maxOpenTasks(job);
+    if (largest <= maxOpen)
+        return std::nullopt;
+    return fmt::format(
+        "{} tasks must run at once, but a progress row describes at most {}; use smaller gangs", largest, maxOpen);
+}
+
+/*! @brief Returns how many tasks may start for the first time; a task that was started has its room until it is done.
+ */
+std::size_t Controller::startableTasks(const ManagedWorkload& job) const
+{
+    const auto maxOpen = maxOpenTasks(job);
+    if (job.progress.taskCount() <= maxOpen)
+        return maxOpen;
+    return maxOpen - std::min(maxOpen, job.progress.countStoredTasks());
+}
+
 /*! @brief Splits a waiting step into a request for the tasks that failed before, which wait for evidence of which
  * executors work, and one for the others. */
 void Controller::addRequestsByFailures(std::vector<WaitingStep>& steps, WaitingStep step, TimePoint now)
@@ -187,6 +229,7 @@
     const auto maxAttempts = policyOf(job).maxAttempts;
     const auto& round = step.job->round(step.occurrence, step.step);
     const auto timing = retryTiming(step.input, policy.retry);
+    auto room = startableTasks(job);
     const auto failuresOf = [&](std::uint32_t i) {
         return spec.isGang ? round.gangFailures : job.progress.at({ step.occurrence, step.step, i }).failures;
     };
@@ -200,6 +243,10 @@
     request.acceptsUnproven = false;
     for (const auto i : round.waiting) {
         if (failuresOf(i) == 0) {
+            const bool isFirstStart = job.progress.at({ step.occurrence, step.step, i }).lastRun == 0;
+            if (isFirstStart && room == 0)
+                continue;
+            room -= isFirstStart;
             step.indices.push_back(i);
         } else if (sinceFailure(i) >= timing.delay) {
             retry.indices.push_back(i);
@@ -208,6 +255,8 @@
             request.acceptsUnproven = request.acceptsUnproven || sinceFailure(i) >= timing.provenWait;
         }
     }
+    if (spec.isGang && step.indices.size() < spec.tasks)
+        step.indices.clear();
     const auto add = [&](WaitingStep it) {
         it.request.tasks = static_cast<std::uint32_t>(it.indices.size());
         if (!it.indices.empty())
@@ -234,6 +283,10 @@
 
 std::optional<std::int64_t> Controller::plan(const ClockReading& now)
 {
+    for (const auto& [name, node] : m_nodes) {
+        m_maxExecutorBytes = std::max(m_maxExecutorBytes, node.lifetime.executor.size());
+        m_maxNodeBytes = std::max(m_maxNodeBytes, name.size());
+    }
     std::optional<std::int64_t> nextDue;
     auto waiting = waitingSteps(now, nextDue);
     if (waiting.empty())
@@ -358,6 +411,19 @@
     auto& job = *waiting.job;
     auto& round = job.round(waiting.occurrence, waiting.step);
     const auto& spec = job.row.request.steps[waiting.step];
+    // Another step of the job may have taken room since this one was requested.
+    auto room = startableTasks(job);
+    std::vector<std::size_t> chosen;
+    for (std::size_t i = 0; i < nodes.size(); ++i) {
+        const bool isFirstStart
+            = job.progress.at({ waiting.occurrence, waiting.step, waiting.indices[i] }).lastRun == 0;
+        if (isFirstStart && room == 0)
+            continue;
+        room -= isFirstStart;
+        chosen.push_back(i);
+    }
+    if (chosen.empty() || (spec.isGang && chosen.size() < spec.tasks))
+        return;
     std::uint64_t gangRun = 0;
     std::string gangCheckpoint;
     if (spec.isGang) {
@@ -379,7 +445,7 @@
         m_waitMs.record(static_cast<double>(now.unixMs - job.row.acceptedUnixMs));
     }
     std::vector<std::string> placed;
-    for (std::size_t i = 0; i < nodes.size(); ++i) {
+    for (const auto i : chosen) {
         const TaskPosition position { waiting.occurrence, waiting.step, waiting.indices[i] };
         auto& task = job.progress.at(position);
         const auto& node = m_nodes.at(nodes[i]);
--- a/src/lycheespool/controller/controller_settings.h
+++ b/src/lycheespool/controller/controller_settings.h
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstddef>
 
 namespace lycheespool {
 
@@ -25,6 +26,15 @@
     /*! @brief Delay before this candidate takes a free leader lease. */
     Duration candidacyDelay {};
     ClusterBounds bounds;
+    /*! @brief Maximum size of an encoded progress row, bytes. */
+    std::size_t maxProgressBytes { maxValueBytes(NodeSettings {}.rowBytes) };
+
+    /**
+     * @brief Returns how large a value may be so that its base64 text fits into a row.
+     * @param rowBytes Maximum size of a row in the store, bytes.
+     * @return Size, bytes.
+     */
+    [[nodiscard]] static constexpr std::size_t maxValueBytes(std::size_t rowBytes) { return rowBytes / 4 * 3; }
 
     /*! @brief Minimum processor share to lead without a candidacy delay; a leader of 240 executors uses up to 0.1. */
     static constexpr double leaderProcessorShare = 0.2;
@@ -40,6 +50,7 @@
     {
         ControllerSettings settings;
         settings.bounds = node.bounds;
+        settings.maxProgressBytes = maxValueBytes(node.rowBytes);
         // Long enough to survive a leader change or a short network outage; lost tasks restart only after it.
         settings.permitDuration
             = std::clamp<Duration>(node.bounds.maxLease, std::chrono::seconds { 5 }, std::chrono::seconds { 7 });
--- a/src/lycheespool/controller/leader_host.h
+++ b/src/lycheespool/controller/leader_host.h
@@ -396,7 +396,7 @@
     [[nodiscard]] Awaitable<bool> storeChanges()
     {
         const auto writes = m_controller->pendingWrites(rowsPerCommit);
-        m_hasMore = writes.size() == rowsPerCommit;
+        m_hasMore = false;
         if (writes.empty())
             co_return true;
         const auto term = m_term;
@@ -412,9 +412,13 @@
             commit = co_await m_store.commit(std::move(transaction), answerTimeout);
         } catch (const Error& error) {
             m_commitFailures.add();
+            const bool isRefused = error.kind() == ErrorKind::invalidArgument && m_term == term && m_controller;
+            if (isRefused)
+                m_controller->onWritesRefused(writes, clockReading());
+            m_hasMore = isRefused;
             logEvent("progress_commit_failed",
                 { { "rows", writes.size() }, { "epoch", m_leadership.epoch().value() }, { "reason", error.what() } });
-            co_return false;
+            co_return isRefused;
         }
         if (m_term != term || !m_controller)
             co_return true;
@@ -422,6 +426,7 @@
         if (commit.isCommitted) {
             for (const auto& it : writes)
                 m_controller->markStored(it, commit.version);
+            m_hasMore = m_controller->hasPendingWrites();
             co_return true;
         }
         adoptVersions(writes, commit);
--- a/src/lycheespool/controller/managed_workload.h
+++ b/src/lycheespool/controller/managed_workload.h
@@ -47,6 +47,10 @@
     /*! @brief Incremented with each change of the progress. */
     std::uint64_t revision { 1 };
     std::uint64_t storedRevision { 0 };
+    /*! @brief Revision that the store refused for good; 0 if it accepted the latest write. */
+    std::uint64_t refusedRevision { 0 };
+    /*! @brief No task starts before this time, since the store refused the row. */
+    TimePoint heldUntil {};
     /*! @brief Version of the progress row. */
     std::uint64_t rowVersion { 0 };
     /*! @brief Version of the row that the entry wrote when it accepted the job; that row never changes. */
--- a/src/lycheespool/store/row_store.h
+++ b/src/lycheespool/store/row_store.h
@@ -4,6 +4,7 @@
 #include "lycheespool/net/asio.h"
 
 #include <concepts>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -50,6 +51,9 @@
 /*! @brief Most conditions and writes of one transaction. */
 inline constexpr std::size_t maxTransactionEntries = 100;
 
+/*! @brief Largest body of one transaction, bytes; the store takes 1 MB a call. */
+inline constexpr std::size_t maxTransactionBytes = 1'000'000;
+
 /*! @brief Outcome of a transaction. */
 struct RowCommit {
     bool isCommitted { false };
@@ -90,7 +94,8 @@
  * - `changes(table, after, wait, timeout)` waits for changes of a table.
  * - `answeredAt()` is the time of the newest answer to any call, or of the start of the process.
  *
- * All throw Error: unavailable or overloaded if nothing was done, outcomeUnknown if the operation may take effect.
+ * All throw Error: unavailable or overloaded if nothing was done, outcomeUnknown if the operation may take effect,
+ * invalidArgument if the store will never accept the operation.
  */
 template <typename Type>
 concept RowStore = requires(
--- a/src/lycheespool/workload/job_progress.cpp
+++ b/src/lycheespool/workload/job_progress.cpp
@@ -3,6 +3,7 @@
 #include "lycheespool/core/error.h"
 
 #include <algorithm>
+#include <ranges>
 
 namespace lycheespool {
 
@@ -33,6 +34,8 @@
     MSGPACK_DEFINE(header, done, tasks)
 };
 
+bool isStored(const TaskProgress& task) { return !task.placements.empty() || (!task.done && task.lastRun > 0); }
+
 }
 
 JobProgress::JobProgress(const JobRequest& request)
@@ -67,7 +70,34 @@
     return static_cast<std::uint32_t>(std::count_if(first, last, [](const auto& it) { return !it.done; }));
 }
 
-std::string JobProgress::encode(const std::string& queue, const std::string& workspace) const
+std::size_t JobProgress::maxTaskBytes(std::size_t executorBytes, std::size_t nodeBytes, std::size_t checkpointBytes)
+{
+    // Attempts, crashes and losses of a task are limited to far lower numbers.
+    constexpr std::uint16_t maxCount = std::numeric_limits<std::uint16_t>::max();
+    StoredTask stored { maxTasksPerJob, {} };
+    auto& task = stored.task;
+    task.failures = task.crashes = task.losses = maxCount;
+    task.lastRun = task.lastFailedRun = maxCount;
+    task.checkpoint.resize(checkpointBytes);
+    task.placements.push_back({ { std::string(executorBytes, ' '), std::numeric_limits<std::int64_t>::max() },
+        std::string(nodeBytes, ' '), maxCount });
+    return packValue(stored).size();
+}
+
+std::size_t JobProgress::maxFixedBytes(const std::string& queue, const std::string& workspace) const
+{
+    // Two arrays of fixed and one of variable size take up to 7 bytes, the two numbers 11, the headers of three texts
+    // 15.
+    constexpr std::size_t headers = 7 + 11 + 15;
+    return headers + queue.size() + workspace.size() + (m_tasks.size() + 7) / 8;
+}
+
+std::size_t JobProgress::countStoredTasks() const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(m_tasks, isStored));
+}
+
+std::string JobProgress::encode(const std::string& queue, const std::string& workspace, std::size_t maxBytes) const
 {
     StoredProgress stored;
     stored.header = { static_cast<std::uint8_t>(state), queue, workspace, endedUnixMs };
@@ -77,10 +107,20 @@
             const auto& task = m_tasks[i];
             if (task.done)
                 stored.done[i / 8] = static_cast<char>(stored.done[i / 8] | (1 << (i % 8)));
-            if (!task.placements.empty() || (!task.done && task.lastRun > 0))
+            if (isStored(task))
                 stored.tasks.push_back({ i, task });
         }
     }
+    auto bytes = packValue(stored);
+    auto excess = bytes.size() > maxBytes ? bytes.size() - maxBytes : 0;
+    if (excess == 0)
+        return bytes;
+    for (auto& it : stored.tasks | std::views::reverse) {
+        if (excess == 0)
+            break;
+        excess -= std::min(excess, it.task.checkpoint.size());
+        it.task.checkpoint.clear();
+    }
     return packValue(stored);
 }
 
--- a/src/lycheespool/workload/job_progress.h
+++ b/src/lycheespool/workload/job_progress.h
@@ -4,7 +4,9 @@
 #include "lycheespool/workload/lifetime.h"
 #include "lycheespool/workload/task_name.h"
 
+#include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <msgpack.hpp>
 #include <optional>
 #include <string>
@@ -100,9 +102,36 @@
      * @brief Encodes the progress for its row.
      * @param queue Queue of the job.
      * @param workspace Workspace of the job.
-     * @return Bytes.
+     * @param maxBytes Maximum size, bytes. Checkpoints are left out of a larger row; a later leader starts these tasks
+     * from the beginning.
+     * @return Bytes; more than maxBytes only if the row is too large without any checkpoint.
      */
-    [[nodiscard]] std::string encode(const std::string& queue, const std::string& workspace) const;
+    [[nodiscard]] std::string encode(const std::string& queue, const std::string& workspace,
+        std::size_t maxBytes = std::numeric_limits<std::size_t>::max()) const;
+
+    /**
+     * @brief Returns the maximum size that a task with a placement adds to a row.
+     * @param executorBytes Size of the executor's id, bytes.
+     * @param nodeBytes Size of the node's name, bytes.
+     * @param checkpointBytes Size of the checkpoint, bytes.
+     * @return Size, bytes.
+     */
+    [[nodiscard]] static std::size_t maxTaskBytes(
+        std::size_t executorBytes, std::size_t nodeBytes, std::size_t checkpointBytes);
+
+    /**
+     * @brief Returns the maximum size of a row in which no task has been started.
+     * @param queue Queue of the job.
+     * @param workspace Workspace of the job.
+     * @return Size, bytes.
+     */
+    [[nodiscard]] std::size_t maxFixedBytes(const std::string& queue, const std::string& workspace) const;
+
+    /*! @brief Number of tasks over all occurrences. */
+    [[nodiscard]] std::size_t taskCount() const { return m_tasks.size(); }
+
+    /*! @brief Number of tasks that a row describes beyond their bit: started and not done, or with a placement. */
+    [[nodiscard]] std::size_t countStoredTasks() const;
 
     /**
      * @brief Decodes a row.
--- a/src/lycheespool/workload/job_request.h
+++ b/src/lycheespool/workload/job_request.h
@@ -56,7 +56,8 @@
     MSGPACK_DEFINE(request, queue, workspace, acceptedUnixMs, policy)
 };
 
-/*! @brief Maximum number of tasks of a job over all steps and occurrences; limits the progress row to 64 KiB. */
+/*! @brief Maximum number of tasks of a job over all steps and occurrences. The progress row has a bit for each; the
+ * leader limits the tasks that run at once to those that fit into the row. */
 inline constexpr std::uint64_t maxTasksPerJob = 6000;
 /*! @brief Maximum number of steps of a job. */
 inline constexpr std::size_t maxStepsPerJob = 200;
--- a/test/platform/codecs.cpp
+++ b/test/platform/codecs.cpp
@@ -98,12 +98,13 @@
 TEST_CASE("settings are decoded with defaults for absent bounds, and malformed settings are rejected")
 {
     const auto* const text = R"({"node":"side-1","zone":"z","ip":"10.1.0.20","listen":{"control":"10.1.0.20:8526"},
-        "internalPorts":[7000,7015],"seeds":["10.2.0.1:8526"],"platform":{"addr":"10.200.1.7:8524"},
+        "internalPorts":[7000,7015],"seeds":["10.2.0.1:8526"],"platform":{"addr":"10.200.1.7:8524","rowBytes":32768},
         "app":"10.1.0.20:8529","limits":{"cpuShare":0.25,"cores":2},"bounds":{"maxHoldMs":6000,"graceS":6,"remoteFactor":3},"dataDir":null,"new":[1]})";
     const auto settings = decodeSettings(text);
     CHECK(settings.internal == Address { "10.1.0.20", 7000 });
     CHECK(settings.metrics == Address { "10.1.0.20", 7001 });
     CHECK(settings.seeds == std::vector<Address> { { "10.2.0.1", 7000 } });
+    CHECK(settings.rowBytes == 32'768);
     CHECK(settings.bounds.maxLease == std::chrono::seconds { 6 });
     CHECK(settings.bounds.gangAssembly == std::chrono::seconds { 3 });
     CHECK_FALSE(settings.clientAddress);
