Cut orders for a node into messages that fit into a frame

Callers saw that a job of 600 tasks with a spec of 4,000 bytes never started, nor did any later order for the same nodes (LOST). All orders for a node went into one message; with more than 255 such starts it exceeded the frame of 1 MiB and was not encoded.

Orders are now split into messages of at most 64 KiB and 64 orders. That is far below the frame, since an agent copies the message for each of its orders. A start order that fits no frame ends its job with an error that names both sizes, is counted, and delays no other order.

Evidence: with the split and the check switched off, the test of 1,000 orders fails with a message of 3,183,887 bytes, and the job of an order beyond a frame is not ended. All tests of test_wire, test_workload, test_platform and test_controller pass.

--- a/src/lycheespool/controller/controller.h
+++ b/src/lycheespool/controller/controller.h
@@ -194,7 +194,7 @@
     void setRowVersion(const std::string& job, std::uint64_t rowVersion);
 
     /**
-     * @brief Returns the orders that are due and marks them as sent.
+     * @brief Returns the orders that are due and marks them as sent. Ends a job whose order is too large for a message.
      * @param now Present time.
      * @return Orders by node.
      */
@@ -292,6 +292,7 @@
     [[nodiscard]] double evictionCost(const RunKey& key, const LiveRun& run, TimePoint now) const;
     [[nodiscard]] RunOrder orderFor(const RunKey& key, const LiveRun& run);
     void withdrawStartsBeyondCapacity();
+    void failUnsendable(const RunKey& key, std::size_t orderBytes, const ClockReading& now);
     [[nodiscard]] bool isStartStillValid(const RunKey& key, const LiveRun& run, TimePoint now) const;
 
     ControllerSettings m_settings;
@@ -322,6 +323,7 @@
     Counter& m_runsMoved;
     Counter& m_unknownRunsStopped;
     Counter& m_writesRefused;
+    Counter& m_unsendableOrders;
     LatencyHistogram& m_waitMs;
     LatencyHistogram& m_completionMs;
     LatencyHistogram& m_failureMs;
--- a/src/lycheespool/controller/controller_jobs.cpp
+++ b/src/lycheespool/controller/controller_jobs.cpp
@@ -43,6 +43,7 @@
     , m_runsMoved { metrics.counter("runs_moved_total") }
     , m_unknownRunsStopped { metrics.counter("runs_unknown_stopped_total") }
     , m_writesRefused { metrics.counter("progress_writes_refused_total") }
+    , m_unsendableOrders { metrics.counter("orders_too_large_total") }
     , m_waitMs { metrics.histogram("first_start_wait_ms") }
     , m_completionMs { metrics.histogram("completion_ms") }
     , m_failureMs { metrics.histogram("run_failed_after_ms") }
--- a/src/lycheespool/controller/controller_planning.cpp
+++ b/src/lycheespool/controller/controller_planning.cpp
@@ -522,6 +522,19 @@
     }
 }
 
+/*! @brief Ends a job whose order no message can carry; a stop order is small, so this is a start. */
+void Controller::failUnsendable(const RunKey& key, std::size_t orderBytes, const ClockReading& now)
+{
+    m_unsendableOrders.add();
+    stopRun(key, "the start order is too large");
+    auto* const job = findJob(key.task.job);
+    if (job && !isEnded(job->progress.state))
+        endJob(*job, WorkloadState::failed,
+            fmt::format(
+                "a start order of {} bytes exceeds the limit of {}; use a shorter spec", orderBytes, maxOrderBytes),
+            now);
+}
+
 std::map<std::string, NodeOrders> Controller::takeOrders(const ClockReading& now)
 {
     std::map<std::string, NodeOrders> orders;
@@ -558,11 +571,16 @@
         } else if ((run.stopAnswered && now.steady - run.orderedAt < 2 * m_settings.orderRetry) || !isDue) {
             continue;
         }
+        auto order = orderFor(key, run);
+        if (const auto size = encodedBytes(order); size > maxOrderBytes) {
+            failUnsendable(key, size, now);
+            continue;
+        }
         run.orderedAt = now.steady;
         if (run.phase == RunPhase::planned)
             run.phase = RunPhase::ordered;
         run.possibleStarts += !run.isStopping();
-        add(node->second, orderFor(key, run));
+        add(node->second, std::move(order));
     }
     for (auto& [name, node] : m_nodes) {
         for (auto& [key, unknownRun] : node.unknownRuns) {
--- a/src/lycheespool/controller/leader_host.h
+++ b/src/lycheespool/controller/leader_host.h
@@ -459,11 +459,13 @@
                 continue;
             orders.endsStored = m_controller->endsStored(node);
             const auto self = this->shared_from_this();
-            asio::co_spawn(
-                m_executor,
-                [self, target = node, batch = std::move(orders), link = connection->second, term = m_term]() mutable
-                -> Awaitable<> { co_await self->deliver(target, std::move(batch), link, term); },
-                asio::detached);
+            for (auto& it : splitOrders(std::move(orders))) {
+                asio::co_spawn(
+                    m_executor,
+                    [self, target = node, batch = std::move(it), link = connection->second, term = m_term]() mutable
+                    -> Awaitable<> { co_await self->deliver(target, std::move(batch), link, term); },
+                    asio::detached);
+            }
         }
     }
 
--- a/src/lycheespool/wire/node_messages.h
+++ b/src/lycheespool/wire/node_messages.h
@@ -2,10 +2,12 @@
 
 #include "lycheespool/core/ids.h"
 #include "lycheespool/wire/adaptors.h"
+#include "lycheespool/wire/frame.h"
 #include "lycheespool/wire/message_type.h"
 #include "lycheespool/workload/lifetime.h"
 #include "lycheespool/workload/resource_vector.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <utility>
@@ -127,6 +129,28 @@
     MSGPACK_DEFINE(epoch, lifetime, basedOnMs, endsStored, orders)
 };
 
+/*! @brief Maximum encoded size of the orders in one message, bytes; an agent copies the message for each order. */
+inline constexpr std::size_t maxOrdersBytes = std::size_t { 64 } << 10U;
+/*! @brief Maximum number of orders in one message, for the same reason. */
+inline constexpr std::size_t maxOrdersPerMessage = 64;
+/*! @brief Maximum encoded size of one order; an order above maxOrdersBytes has a message of its own, and 1 KiB is left
+ * for the rest of the frame. */
+inline constexpr std::size_t maxOrderBytes = maxFrameBytes - 1024;
+
+/**
+ * @brief Returns the size of an order in a message.
+ * @param order The order.
+ * @return Upper bound of the size, bytes.
+ */
+[[nodiscard]] std::size_t encodedBytes(const RunOrder& order);
+
+/**
+ * @brief Splits orders into messages that each fit into a frame.
+ * @param orders Orders of any number, each of at most maxOrderBytes.
+ * @return Messages with the orders in their order.
+ */
+[[nodiscard]] std::vector<NodeOrders> splitOrders(NodeOrders orders);
+
 /*! @brief Outcome of an order. */
 enum class RunOrderResult : std::uint8_t {
     started,
--- a/test/lycheespool/controller/row_size.cpp
+++ b/test/lycheespool/controller/row_size.cpp
@@ -36,10 +36,11 @@
 
     static ClockReading at(std::int64_t ms) { return { TimePoint { std::chrono::milliseconds { ms } }, ms }; }
 
-    void add(const std::string& id, std::uint32_t tasks, bool isGang = false)
+    void add(const std::string& id, std::uint32_t tasks, bool isGang = false, std::string payload = {})
     {
         JobRow row;
         row.queue = "queue";
+        row.request.payload = std::move(payload);
         row.policy = { "service", 1, 2, 3.0, 1000 };
         StepSpec step;
         step.tasks = tasks;
@@ -207,3 +208,16 @@
     CHECK(f.stateOf("job-0") == WorkloadState::failed);
     CHECK(f.stateOf("job-1") == WorkloadState::completed);
 }
+
+TEST_CASE("an order that fits no frame fails its job and does not stop later orders")
+{
+    Cluster f { Cluster::settings(65'536), 49'152 };
+    f.add("job-0", 2, false, std::string(maxFrameBytes, 'x'));
+    f.add("job-1", 2);
+    for (int i = 0; i < 4; ++i)
+        f.round({});
+    CHECK(f.stateOf("job-0") == WorkloadState::failed);
+    CHECK(f.stateOf("job-1") == WorkloadState::completed);
+    CHECK(f.controller.liveRuns().empty());
+    CHECK(f.metrics.counter("orders_too_large_total").value() == 1);
+}
--- a/test/lycheespool/wire/frame.cpp
+++ b/test/lycheespool/wire/frame.cpp
@@ -1,10 +1,13 @@
 #include "lycheespool/wire/frame.h"
 #include "lycheespool/core/error.h"
 #include "lycheespool/wire/messages.h"
+#include "lycheespool/wire/node_messages.h"
 
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
+#include <limits>
+
 using namespace lycheespool;
 
 namespace {
@@ -71,3 +74,35 @@
     CHECK_THROWS_AS((void)decodeFrameSize(std::string_view { "\xff\xff\xff\xff", 4 }), Error);
     CHECK_THROWS_AS((void)decodeFrameSize(std::string_view { "\0\0\0\0", 4 }), Error);
 }
+
+TEST_CASE("orders beyond the size of a frame are split, and none is lost")
+{
+    NodeOrders orders;
+    orders.epoch = Epoch { 7 };
+    orders.lifetime = { "i-7f3a91c2", 1'780'000'000'000 };
+    orders.endsStored = 9;
+    for (std::uint64_t i = 1; i <= 1000; ++i) {
+        const std::size_t payloadBytes = i == 500 ? 500'000 : i % 3 == 0 ? 0 : 4'000;
+        orders.orders.push_back({ i % 3 != 0, "job.0.0." + std::to_string(i), i, std::string(payloadBytes, 'x'), {} });
+    }
+    std::uint64_t next = 1;
+    for (const auto& it : splitOrders(std::move(orders))) {
+        const auto frame = encodeFrame(it, std::numeric_limits<std::uint64_t>::max());
+        const auto decoded = decodeFrame(bodyOf(frame)).as<NodeOrders>();
+        CHECK(decoded.epoch == Epoch { 7 });
+        CHECK(decoded.endsStored == 9);
+        CHECK((decoded.orders.size() == 1 || frame.bytes.size() < maxOrdersBytes + 1024));
+        for (const auto& order : decoded.orders)
+            CHECK(order.run == next++);
+    }
+    CHECK(next == 1001);
+}
+
+TEST_CASE("the largest order that may be sent fits into a frame")
+{
+    RunOrder order { true, "job.0.0.0", std::numeric_limits<std::uint64_t>::max(), {}, {} };
+    order.payload.resize(maxOrderBytes - encodedBytes(order));
+    NodeOrders orders { Epoch { std::numeric_limits<std::uint64_t>::max() }, { std::string(200, 'x'), 1 << 30 },
+        std::numeric_limits<std::uint64_t>::max(), std::numeric_limits<std::uint64_t>::max(), { order } };
+    CHECK_NOTHROW((void)encodeFrame(orders, std::numeric_limits<std::uint64_t>::max()));
+}
