--- a/src/lycheespool/controller/leader_host.h
+++ b/src/lycheespool/controller/leader_host.h
@@ -393,7 +393,7 @@
     [[nodiscard]] Awaitable<bool> storeChanges()
     {
         const auto writes = m_controller->pendingWrites(rowsPerCommit);
-        m_hasMore = writes.size() == rowsPerCommit;
+        m_hasMore = false;
         if (writes.empty())
             co_return true;
         const auto term = m_term;
@@ -409,9 +409,13 @@
             commit = co_await m_store.commit(std::move(transaction), answerTimeout);
         } catch (const Error& error) {
             m_commitFailures.add();
+            const bool isRefused = error.kind() == ErrorKind::invalidArgument && m_term == term && m_controller;
+            if (isRefused)
+                m_controller->onWritesRefused(writes, clockReading());
+            m_hasMore = isRefused;
             logEvent("progress_commit_failed",
                 { { "rows", writes.size() }, { "epoch", m_leadership.epoch().value() }, { "reason", error.what() } });
-            co_return false;
+            co_return isRefused;
         }
         if (m_term != term || !m_controller)
             co_return true;
@@ -419,6 +423,7 @@
         if (commit.isCommitted) {
             for (const auto& it : writes)
                 m_controller->markStored(it, commit.version);
+            m_hasMore = m_controller->hasPendingWrites();
             co_return true;
         }
         adoptVersions(writes, commit);
@@ -451,11 +456,13 @@
                 continue;
             orders.endsStored = m_controller->endsStored(node);
             const auto self = this->shared_from_this();
-            asio::co_spawn(
-                m_executor,
-                [self, target = node, batch = std::move(orders), link = connection->second, term = m_term]() mutable
-                -> Awaitable<> { co_await self->deliver(target, std::move(batch), link, term); },
-                asio::detached);
+            for (auto& it : splitOrders(std::move(orders))) {
+                asio::co_spawn(
+                    m_executor,
+                    [self, target = node, batch = std::move(it), link = connection->second, term = m_term]() mutable
+                    -> Awaitable<> { co_await self->deliver(target, std::move(batch), link, term); },
+                    asio::detached);
+            }
         }
     }
 
