Let no avoided or suspected executor keep a task waiting without an end

Callers saw a task that failed once and never started again, beside a sound and idle executor, while the others were full of service tasks.

An executor where a job failed is avoided for the whole term, and the planner admits it only if the others could not hold the task when they are empty. It counted what service tasks hold as room that becomes free.

- Room that service tasks hold no longer counts as room for which work waits: not for avoided, less reliable or suspected executors, not for a rack, and not for reservations.
- After a wait of 2 s work that failed accepts executors where its job failed, also while the others run tasks that end; executors without a failure of the job stay preferred.
- Service tasks then accept suspected executors too, one start each, and another rack; their estimate is no run time.
They have no last attempt, since no number of failures ends their job.

After: test_dispatch passes (45 cases), test_controller passes (72 cases).

--- a/src/lycheespool/controller/controller_planning.cpp
+++ b/src/lycheespool/controller/controller_planning.cpp
@@ -27,6 +27,9 @@
 // Longest time that a guaranteed gang waits for a single rack before its first start; that start must happen within the
 // reclaim bound of about 2.7 s.
 constexpr std::int64_t guaranteedRackWaitMs = 1000;
+// Longest time that work waits for executors on which its job has not failed, and service tasks for unsuspected ones or
+// for their rack; work must run again within 3 s if there is room, and a start takes up to 0.5 s.
+constexpr std::int64_t maxAvoidanceMs = 2000;
 
 double coreEquivalent(const ResourceVector& amount)
 {
@@ -154,7 +157,9 @@
     request.hasStartBound = isGuaranteed && job.progress.state == WorkloadState::pending;
     request.acceptsRemote = !m_settings.policy.waitsForRack
         || static_cast<double>(readyMs) > remoteCost * m_settings.policy.rackWaitShare
-        || (request.hasStartBound && ageMs > guaranteedRackWaitMs);
+        || (request.hasStartBound && ageMs > guaranteedRackWaitMs) || (spec.isService && readyMs >= maxAvoidanceMs);
+    request.acceptsAvoided = readyMs >= maxAvoidanceMs;
+    request.acceptsSuspected = spec.isService && request.acceptsAvoided;
 
     // No task of a gang runs while the gang waits, so its task counts per executor start at zero.
     for (std::uint32_t i = 0; i < spec.tasks && !spec.isGang && spec.maxPerExecutor > 0; ++i) {
@@ -185,6 +190,8 @@
     const auto& spec = job.row.request.steps[step.step];
     const auto& policy = m_settings.policy;
     const auto maxAttempts = policyOf(job).maxAttempts;
+    // Service tasks are started again however often they fail.
+    const bool limitsAttempts = policy.protectsLastAttempt && !spec.isService;
     const auto& round = step.job->round(step.occurrence, step.step);
     const auto timing = retryTiming(step.input, policy.retry);
     const auto failuresOf = [&](std::uint32_t i) {
@@ -198,16 +205,19 @@
     auto& request = retry.request;
     request.prefersReliable = true;
     request.acceptsUnproven = false;
+    request.acceptsAvoided = false;
     for (const auto i : round.waiting) {
         if (failuresOf(i) == 0) {
             step.indices.push_back(i);
         } else if (sinceFailure(i) >= timing.delay) {
             retry.indices.push_back(i);
-            request.isLastAttempt
-                = request.isLastAttempt || (policy.protectsLastAttempt && failuresOf(i) + 1 >= maxAttempts);
+            request.isLastAttempt = request.isLastAttempt || (limitsAttempts && failuresOf(i) + 1 >= maxAttempts);
             request.acceptsUnproven = request.acceptsUnproven || sinceFailure(i) >= timing.provenWait;
+            request.acceptsAvoided = request.acceptsAvoided
+                || (step.readyMs >= maxAvoidanceMs && sinceFailure(i) >= std::chrono::milliseconds { maxAvoidanceMs });
         }
     }
+    request.acceptsSuspected = spec.isService && request.acceptsAvoided;
     const auto add = [&](WaitingStep it) {
         it.request.tasks = static_cast<std::uint32_t>(it.indices.size());
         if (!it.indices.empty())
@@ -282,6 +292,7 @@
 {
     std::map<Lifetime, ResourceVector> busy;
     std::map<Lifetime, ResourceVector> releasing;
+    std::map<Lifetime, ResourceVector> lasting;
     std::map<Lifetime, std::size_t> trials;
     for (const auto& [key, run] : m_runs) {
         busy[run.lifetime] += run.charged;
@@ -289,6 +300,8 @@
             ++trials[run.lifetime];
         if (run.isStopping())
             releasing[run.lifetime] += run.charged;
+        else if (m_jobs.at(key.task.job).row.request.steps[key.task.position.step].isService)
+            lasting[run.lifetime] += run.charged;
     }
     std::map<std::string, std::vector<NodeCapacity>> nodesByService;
     for (const auto& [name, node] : m_nodes) {
@@ -302,6 +315,7 @@
         candidate.free = node.capacity;
         candidate.free -= busy[node.lifetime];
         candidate.releasing = releasing[node.lifetime];
+        candidate.lasting = lasting[node.lifetime];
         candidate.reliability = trustOf(node, now);
         candidate.acceptsProbe = now >= node.nextProbeAt;
         if (candidate.reliability != NodeReliability::proven)
--- a/src/lycheespool/dispatch/node_capacity.h
+++ b/src/lycheespool/dispatch/node_capacity.h
@@ -44,6 +44,8 @@
     ResourceVector free;
     /*! @brief Resources of runs that are being stopped; they become free when these end. */
     ResourceVector releasing;
+    /*! @brief Resources of service tasks that are not being stopped; they do not become free by themselves. */
+    ResourceVector lasting;
     /*! @brief False if the executor accepts no new work. */
     bool isSchedulable { true };
     NodeReliability reliability { NodeReliability::reliable };
--- a/src/lycheespool/dispatch/start_planner.cpp
+++ b/src/lycheespool/dispatch/start_planner.cpp
@@ -67,13 +67,17 @@
     if (!isAllowed(request, node, scope))
         return 0;
     const auto& it = m_nodes[node];
-    auto available = scope.whenEmpty ? it.capacity : it.free;
+    auto available = it.free;
+    if (scope.whenEmpty) {
+        available = it.capacity;
+        available -= it.lasting;
+    }
     if (scope.withReleasing)
         available += it.releasing;
     auto copies = std::min<std::int64_t>(request.perTask.copiesIn(available), request.tasks);
     // A single task shows whether a suspected executor has recovered.
     if (it.reliability == NodeReliability::suspected && !request.isGang && !scope.whenEmpty) {
-        const bool mayProbe = !it.isBusy && (it.acceptsProbe || request.hasStartBound);
+        const bool mayProbe = request.acceptsSuspected || (!it.isBusy && (it.acceptsProbe || request.hasStartBound));
         copies = mayProbe ? std::min<std::int64_t>(copies, 1) : 0;
     }
     if (request.maxPerNode > 0) {
@@ -185,22 +189,28 @@
 }
 
 /*! @brief Returns the scope of executors that may start a request. Less reliable executors are excluded only if the
- * others could hold the request when they are empty. */
+ * others could hold the request when all tasks that end have ended, and avoided ones only for a limited wait. */
 StartPlanner::Scope StartPlanner::eligibleScope(const StartRequest& request) const
 {
     Scope any { .reliability = NodeReliability::suspected, .withAvoided = true };
     // The failure of one member fails the whole gang.
-    if (!request.isGang && !request.prefersReliable)
+    const bool acceptsAny = !request.isGang && !request.prefersReliable;
+    if (acceptsAny || request.acceptsSuspected)
         return any;
     const std::int64_t needed = request.isGang ? request.tasks : 1;
+    const auto scopeOf = [&](NodeReliability reliability) {
+        return Scope { .reliability = reliability, .withAvoided = request.acceptsAvoided };
+    };
     const auto couldHold = [&](NodeReliability reliability) {
-        return copiesIn(request, { .reliability = reliability, .whenEmpty = true }) >= needed;
+        auto empty = scopeOf(reliability);
+        empty.whenEmpty = true;
+        return copiesIn(request, empty) >= needed;
     };
     if (request.isLastAttempt && !request.acceptsUnproven && couldHold(NodeReliability::proven))
-        return { .reliability = NodeReliability::proven };
+        return scopeOf(NodeReliability::proven);
     if (request.isLastAttempt && couldHold(NodeReliability::reliable))
-        return { .reliability = NodeReliability::reliable };
-    return couldHold(NodeReliability::failedOnce) ? Scope {} : any;
+        return scopeOf(NodeReliability::reliable);
+    return couldHold(NodeReliability::failedOnce) ? scopeOf(NodeReliability::failedOnce) : any;
 }
 
 /*! @brief Finds a placement on the most reliable executors that have free capacity. */
@@ -215,7 +225,7 @@
         places = find(request, { .reliability = NodeReliability::reliable });
     if (places.empty() && eligible.reliability >= NodeReliability::failedOnce)
         places = find(request, {});
-    if (places.empty() && eligible.reliability >= NodeReliability::suspected)
+    if (places.empty() && eligible.withAvoided)
         places = find(request, eligible);
     return places;
 }
--- a/src/lycheespool/dispatch/start_planner.h
+++ b/src/lycheespool/dispatch/start_planner.h
@@ -55,7 +55,7 @@
         bool withAvoided { false };
         /*! @brief Counts resources of runs that are being stopped as free. */
         bool withReleasing { false };
-        /*! @brief Counts the whole capacity of each executor as free. */
+        /*! @brief Counts the capacity of each executor as free, except what tasks hold that do not end. */
         bool whenEmpty { false };
     };
 
--- a/src/lycheespool/dispatch/start_request.h
+++ b/src/lycheespool/dispatch/start_request.h
@@ -30,6 +30,11 @@
     std::map<std::string, std::uint32_t> tasksOn;
     /*! @brief Nodes where tasks of the job failed; used only if no other node fits. */
     std::set<std::string> avoidedNodes;
+    /*! @brief Starts on avoided nodes that have free capacity, instead of waiting longer for others. */
+    bool acceptsAvoided { false };
+    /*! @brief Starts on suspected executors that have free capacity, also before their next probe is due, instead of
+     * waiting longer for others. */
+    bool acceptsSuspected { false };
     /*! @brief The tasks have failed before, so another failure may fail the job. */
     bool prefersReliable { false };
     /*! @brief The start is guaranteed within a time bound, so suspected executors are used if nothing can be evicted.
--- a/test/lycheespool/controller/controller.cpp
+++ b/test/lycheespool/controller/controller.cpp
@@ -473,6 +473,135 @@
     CHECK(f.controller.nodes().at("node-0").failuresInARow == 1);
 }
 
+/*! @brief Lets a task fail beside executors that are full of other tasks, and plans until it starts again. */
+class FailingTask {
+public:
+    /*! @brief Constructs two executors, of which the first is full of a task that lasts or does not end in time. */
+    explicit FailingTask(bool fillerLasts, bool failingLasts)
+    {
+        auto filler = Fixture::job();
+        filler.request.steps[0].perTask.accelerators = 8;
+        filler.request.steps[0].isService = fillerLasts;
+        filler.request.steps[0].estimatedMs = 60000;
+        m_fixture.controller.addJob("filler", filler, {}, 0, Fixture::at(0).steady);
+        advance(100, 1);
+        auto failing = Fixture::job();
+        failing.policy.maxAttempts = 100;
+        failing.request.steps[0].isService = failingLasts;
+        m_fixture.controller.addJob("failing", failing, {}, 0, Fixture::at(100).steady);
+        advance(1500);
+        REQUIRE(m_running.size() == 2);
+    }
+
+    /*! @brief Lets the task fail and returns how long it waits for its next run, ms; the limit if it starts none. */
+    std::int64_t failAndWait(std::int64_t limitMs)
+    {
+        const auto it
+            = std::ranges::find_if(m_running, [](const auto& run) { return run.second.task.starts_with("failing"); });
+        REQUIRE(it != m_running.end());
+        m_ended[it->first].push_back({ ++m_ends, it->second.task, it->second.run, RunEndKind::failed, {} });
+        m_running.erase(it);
+        const auto failedAtMs = m_nowMs;
+        while (m_running.size() < 2 && m_nowMs - failedAtMs < limitMs)
+            advance(m_nowMs + 100);
+        return m_nowMs - failedAtMs;
+    }
+
+    void runFor(std::int64_t ms) { advance(m_nowMs + ms); }
+
+private:
+    void advance(std::int64_t untilMs, int nodes = 2)
+    {
+        for (; m_nowMs < untilMs; m_nowMs += 100) {
+            for (int i = 0; i < nodes; ++i) {
+                const auto node = "node-" + std::to_string(i);
+                auto report = m_fixture.report(m_nowMs, node);
+                report.ended = m_ended[node];
+                const auto [first, last] = m_running.equal_range(node);
+                std::ranges::transform(
+                    first, last, std::back_inserter(report.running), &decltype(m_running)::value_type::second);
+                m_fixture.receive(report, m_nowMs);
+            }
+            m_fixture.controller.superviseRuns(Fixture::at(m_nowMs));
+            (void)m_fixture.controller.plan(Fixture::at(m_nowMs));
+            m_fixture.storeAll();
+            for (const auto& [node, batch] : m_fixture.controller.takeOrders(Fixture::at(m_nowMs))) {
+                for (const auto& it : batch.orders) {
+                    m_fixture.controller.onOutcome(node, batch.lifetime,
+                        { it.task, it.run, RunOrderResult::started, {}, static_cast<std::uint64_t>(m_nowMs) },
+                        Fixture::at(m_nowMs));
+                    m_running.insert({ node, { it.task, it.run, {}, 100 } });
+                }
+            }
+        }
+    }
+
+    Fixture m_fixture;
+    std::multimap<std::string, RunningTask> m_running;
+    std::map<std::string, std::vector<RunEnd>> m_ended;
+    std::uint64_t m_ends { 0 };
+    std::int64_t m_nowMs { 0 };
+};
+
+// Guards against a failed task that avoids its executor for the whole term while the others are full.
+TEST_CASE("a task that failed on the only executor with room starts there again within three seconds")
+{
+    for (const bool fillerLasts : { false, true }) {
+        for (const bool failingLasts : { false, true }) {
+            CAPTURE(fillerLasts);
+            CAPTURE(failingLasts);
+            CHECK(FailingTask { fillerLasts, failingLasts }.failAndWait(40000) < 3000);
+        }
+    }
+}
+
+// Guards against a service task that waits for a suspicion to expire, or takes its last attempt for one that counts.
+TEST_CASE("a service task that fails again and again starts again within three seconds each time")
+{
+    for (const bool fillerLasts : { false, true }) {
+        CAPTURE(fillerLasts);
+        FailingTask it { fillerLasts, true };
+        for (int i = 0; i < 6; ++i) {
+            CAPTURE(i);
+            CHECK(it.failAndWait(40000) < 3000);
+            it.runFor(1000);
+        }
+    }
+}
+
+// Guards against service tasks that wait for their rack for as long as their estimate, which is no run time.
+TEST_CASE("a gang of service tasks waits for a rack for two seconds at most")
+{
+    Fixture f;
+    const auto receiveAll = [&](std::int64_t ms) {
+        for (int i = 0; i < 4; ++i) {
+            auto it = f.report(ms, "node-" + std::to_string(i));
+            it.labels = { "a", i < 2 ? "rack-0" : "rack-1" };
+            f.receive(it, ms);
+        }
+    };
+    receiveAll(10);
+    for (const auto* const rack : { "rack-0", "rack-1" }) {
+        auto filler = Fixture::job();
+        filler.request.steps[0].perTask.accelerators = 8;
+        filler.request.steps[0].requiredLabel = rack;
+        f.controller.addJob(std::string { "filler of " } + rack, filler, {}, 0, Fixture::at(10).steady);
+    }
+    (void)f.controller.plan(Fixture::at(10));
+    REQUIRE(f.controller.liveRuns().size() == 2);
+    auto row = Fixture::job(2, true);
+    row.request.steps[0].perTask.accelerators = 8;
+    row.request.steps[0].prefersOneRack = true;
+    row.request.steps[0].isService = true;
+    row.request.steps[0].estimatedMs = 600000;
+    f.controller.addJob("gang", row, {}, 0, Fixture::at(10).steady);
+    (void)f.controller.plan(Fixture::at(10));
+    CHECK(f.controller.liveRuns().size() == 2);
+    receiveAll(2050);
+    (void)f.controller.plan(Fixture::at(2050));
+    CHECK(f.controller.liveRuns().size() == 4);
+}
+
 /*! @brief Starts a job's task again and again on executors that crash 20 ms after they start it. */
 class CrashingTask {
 public:
--- a/test/lycheespool/dispatch/start_planner.cpp
+++ b/test/lycheespool/dispatch/start_planner.cpp
@@ -366,6 +366,68 @@
     CHECK(planOne(cluster, request).starts.size() == 1);
 }
 
+// Guards against work that waits without an end for executors which service tasks never leave.
+TEST_CASE("room that service tasks hold does not keep work from executors that it avoids")
+{
+    for (const bool isGang : { false, true }) {
+        CAPTURE(isGang);
+        auto cluster = nodes(2);
+        cluster[0].free = {};
+        auto request = tasks(1, 8, isGang);
+        request.prefersReliable = !isGang;
+        request.avoidedNodes = { "n1" };
+        CHECK(planOne(cluster, request).starts.empty());
+        cluster[0].lasting = workerCapacity;
+        CHECK(planOne(cluster, request).starts.size() == 1);
+        request.avoidedNodes.clear();
+        cluster[1].reliability = NodeReliability::suspected;
+        CHECK(planOne(cluster, request).starts.size() == 1);
+    }
+}
+
+// Guards against work that waits for long tasks to end although an executor where it failed once is idle.
+TEST_CASE("work starts on an avoided executor once it has waited for the others")
+{
+    for (const bool isLastAttempt : { false, true }) {
+        CAPTURE(isLastAttempt);
+        auto cluster = nodes(2);
+        cluster[0].free = {};
+        auto request = tasks(1, 8);
+        request.prefersReliable = true;
+        request.isLastAttempt = isLastAttempt;
+        request.avoidedNodes = { "n1" };
+        CHECK(planOne(cluster, request).starts.empty());
+        request.acceptsAvoided = true;
+        CHECK(planOne(cluster, request).starts.size() == 1);
+        cluster[0].free = workerCapacity;
+        CHECK(planOne(cluster, request).starts.at(0).nodes.at(0) == 0);
+    }
+}
+
+// Guards against small work that starves beside a reservation of room that never becomes free.
+TEST_CASE("a gang reserves no executor that service tasks keep from it")
+{
+    auto cluster = nodes(1);
+    cluster[0].free.accelerators = 4;
+    const std::vector<StartRequest> requests { tasks(1, 8, true), tasks(4, 1) };
+    CHECK(StartPlanner { cluster }.plan(requests).starts.empty());
+    cluster[0].lasting.accelerators = 4;
+    CHECK(StartPlanner { cluster }.plan(requests).starts.size() == 1);
+}
+
+// Guards against a gang that waits without an end for a rack which service tasks never leave.
+TEST_CASE("a gang does not wait for a rack that service tasks keep from it")
+{
+    auto cluster = nodes(6);
+    for (const auto i : { 0U, 3U }) {
+        cluster[i].free.accelerators = 0;
+        cluster[i].lasting.accelerators = 8;
+    }
+    auto request = tasks(3, 8, true);
+    request.prefersOneRack = true;
+    CHECK(planOne(cluster, request).starts.size() == 1);
+}
+
 // Guards against urgent gangs that end late because of their slowest member.
 TEST_CASE("a gang that prefers fast executors takes the rack whose slowest executor is the fastest")
 {
