Stop service tasks for guaranteed work, within what their step can spare

Callers with a guarantee saw their job wait until a client cancelled the service tasks of a workspace without one: no run of a step that lasts was ever offered to the planner for eviction.

Work within its guarantee now evicts service tasks too, least unsaved work first and, of equal work, those of the step that can spare the most. Where a step sets maxUnavailable, its tasks that are not at work for any reason (not started, stopping, below 100 percent, executor draining, out of service or silent) and the stops of the plan together stay within it; a gang is stopped only as a whole. Preemption beyond guarantees still leaves service tasks alone. Room that guaranteed work may evict counts as room for it.

--- a/src/lycheespool/controller/controller.h
+++ b/src/lycheespool/controller/controller.h
@@ -260,6 +260,8 @@
     void recordSuccess(ExecutorView& node, const LiveRun& run, const ClockReading& now);
     void startSuspicion(ExecutorView& node, bool isFailedProbe, TimePoint now);
     [[nodiscard]] EvictableRuns evictableRuns(TimePoint now) const;
+    [[nodiscard]] std::size_t unavailableTasks(
+        const ManagedWorkload& job, const TaskPosition& position, TimePoint now) const;
     [[nodiscard]] std::map<std::string, std::vector<NodeCapacity>> plannerNodes(
         const EvictableRuns& evictable, TimePoint now) const;
     void planService(const std::string& service, std::vector<NodeCapacity> nodes, const EvictableRuns& evictable,
--- a/src/lycheespool/controller/controller_planning.cpp
+++ b/src/lycheespool/controller/controller_planning.cpp
@@ -31,6 +31,9 @@
 // for their rack; work must run again within 3 s if there is room, and a start takes up to 0.5 s.
 constexpr std::int64_t maxAvoidanceMs = 2000;
 
+// A service task is at work when its percent is 100.
+constexpr std::uint32_t percentAtWork = 100;
+
 double coreEquivalent(const ResourceVector& amount)
 {
     return static_cast<double>(amount.milliCores) / 1000.0
@@ -149,6 +152,7 @@
     request.dataRack = spec.dataRack;
     request.maxPerNode = spec.maxPerExecutor;
     request.mayEvict = isGuaranteed;
+    request.evictsLasting = isGuaranteed;
     request.speedWeight
         = policy.priority == 0 ? m_settings.policy.urgentSpeedWeight : m_settings.policy.normalSpeedWeight;
     // Waiting for the preferred rack pays off until the wait exceeds a share of the extra run time elsewhere. Time that
@@ -254,6 +258,27 @@
     return nextDue;
 }
 
+/*! @brief Returns the number of service tasks of a step that are not at work, for whatever reason. */
+std::size_t Controller::unavailableTasks(const ManagedWorkload& job, const TaskPosition& position, TimePoint now) const
+{
+    const auto& step = job.row.request.steps[position.step];
+    const auto isInContact = [&](const LiveRun& run) {
+        const auto node = m_nodes.find(run.node);
+        return node != m_nodes.end() && node->second.lifetime == run.lifetime && acceptsWork(node->second, now);
+    };
+    std::size_t away = 0;
+    for (std::uint32_t i = 0; i < step.tasks; ++i) {
+        const TaskPosition task { position.occurrence, position.step, i };
+        const bool isAtWork = std::ranges::any_of(job.progress.at(task).placements, [&](const auto& placement) {
+            const auto it = m_runs.find({ { job.id, task }, placement.run });
+            return it != m_runs.end() && it->second.phase == RunPhase::confirmed && !it->second.isStopping()
+                && it->second.percent >= percentAtWork && isInContact(it->second);
+        });
+        away += !isAtWork;
+    }
+    return away;
+}
+
 /*! @brief Collects the runs that other work may evict; the members of a gang share a group and its whole cost. */
 Controller::EvictableRuns Controller::evictableRuns(TimePoint now) const
 {
@@ -261,14 +286,30 @@
     const auto guaranteed = guaranteedJobs();
     std::map<std::tuple<std::string, std::uint32_t, std::uint32_t, std::uint64_t>, std::size_t> groups;
     std::map<std::size_t, double> groupCost;
+    // Number and unavailable tasks of each step that limits its unavailable tasks.
+    std::map<std::tuple<std::string, std::uint32_t, std::uint32_t>, std::pair<std::size_t, std::size_t>> limits;
     for (const auto& [key, run] : m_runs) {
         if (run.isStopping() || guaranteed.contains(key.task.job))
             continue;
         const auto& job = m_jobs.at(key.task.job);
         const auto& step = job.row.request.steps[key.task.position.step];
-        if (step.isService)
-            continue;
         EvictableRun it { runs.keys.size(), 0, policyOf(job).priority + 1, run.charged, evictionCost(key, run, now) };
+        it.isLasting = step.isService;
+        if (step.isService && step.maxUnavailable > 0) {
+            const auto& position = key.task.position;
+            const auto [limit, isNew] = limits.try_emplace({ key.task.job, position.occurrence, position.step });
+            if (isNew)
+                limit->second = { limits.size(), unavailableTasks(job, position, now) };
+            const auto [number, away] = limit->second;
+            const std::size_t most = step.maxUnavailable;
+            const bool isAway = run.phase != RunPhase::confirmed || run.percent < percentAtWork;
+            // The stop of a task that is unavailable already adds none, but it may be at work since its latest list.
+            const bool addsNone = isAway && !step.isGang && away <= most;
+            if (!addsNone && away + (step.isGang ? step.tasks : 1) > most)
+                continue;
+            it.limitedStep = addsNone ? 0 : number;
+            it.stopsLeft = addsNone ? 0 : most - away;
+        }
         if (step.isGang) {
             const std::tuple group { key.task.job, key.task.position.occurrence, key.task.position.step, key.run };
             it.group = groups.try_emplace(group, groups.size() + 1).first->second;
--- a/src/lycheespool/dispatch/node_capacity.h
+++ b/src/lycheespool/dispatch/node_capacity.h
@@ -21,6 +21,12 @@
     ResourceVector charged;
     /*! @brief Work of the whole group since its last checkpoint, which an eviction discards, in core-seconds. */
     double unsavedCoreSeconds { 0 };
+    /*! @brief A service task, which only work within its workspace's guarantee evicts. */
+    bool isLasting { false };
+    /*! @brief Service tasks with the same number belong to a step that limits its unavailable tasks; 0 for none. */
+    std::size_t limitedStep { 0 };
+    /*! @brief Number of tasks of the limited step that may be stopped. */
+    std::size_t stopsLeft { 0 };
 };
 
 /*! @brief Reliability of an executor, judged by its recent runs; ordered from best to worst. */
--- a/src/lycheespool/dispatch/start_planner.cpp
+++ b/src/lycheespool/dispatch/start_planner.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <numeric>
 #include <tuple>
 
@@ -71,6 +72,10 @@
     if (scope.whenEmpty) {
         available = it.capacity;
         available -= it.lasting;
+        for (const auto& run : it.evictable) {
+            if (run.isLasting && request.evictsLasting)
+                available += run.charged;
+        }
     }
     if (scope.withReleasing)
         available += it.releasing;
@@ -278,20 +283,32 @@
 
 /*! @brief Chooses runs to evict on one executor so that the given number of tasks fit, and sums their unsaved work. */
 std::optional<StartPlanner::EvictionChoice> StartPlanner::evictionsOn(
-    const StartRequest& request, std::size_t node, std::int64_t copies) const
+    const StartRequest& request, std::size_t node, std::int64_t copies, const LimitedStops& stops) const
 {
     const auto& it = m_nodes[node];
     auto available = it.free;
     available += it.releasing;
     auto runs = it.evictable;
-    std::ranges::sort(runs, {}, [](const auto& run) { return std::pair { run.unsavedCoreSeconds, run.handle }; });
     EvictionChoice choice;
     choice.nodes.push_back(node);
+    choice.stops = stops;
+    // Of runs with equal work, those of the step that can spare the most come first.
+    const auto stopsLeft = [&](const EvictableRun& run) {
+        const auto used = choice.stops[run.limitedStep];
+        return run.limitedStep == 0 ? std::numeric_limits<std::size_t>::max()
+                                    : run.stopsLeft - std::min(run.stopsLeft, used);
+    };
+    std::ranges::sort(runs, {}, [&](const auto& run) {
+        return std::tuple { run.unsavedCoreSeconds, std::numeric_limits<std::size_t>::max() - stopsLeft(run),
+            run.handle };
+    });
     for (const auto& run : runs) {
         if (request.perTask.copiesIn(available) >= copies)
             break;
-        if (run.tier <= request.evictsAboveTier)
+        if (run.tier <= request.evictsAboveTier || (run.isLasting && !request.evictsLasting) || stopsLeft(run) == 0)
             continue;
+        if (run.limitedStep != 0)
+            ++choice.stops[run.limitedStep];
         available += run.charged;
         choice.cost += run.unsavedCoreSeconds;
         choice.handles.push_back(run.handle);
@@ -318,20 +335,26 @@
     for (std::size_t i = 0; i < m_nodes.size(); ++i) {
         // Evicting all runs frees the most capacity; freeing less may cost less per task.
         for (auto copies = copiesOn(request, i, scope); copies > 0; --copies) {
-            if (auto found = evictionsOn(request, i, copies))
+            if (auto found = evictionsOn(request, i, copies, m_stops))
                 candidates.push_back({ found->cost / static_cast<double>(copies), i, copies, std::move(*found) });
         }
     }
     std::ranges::sort(candidates, {}, [](const auto& it) { return std::tuple { it.costPerCopy, it.node, it.copies }; });
     EvictionChoice choice;
+    choice.stops = m_stops;
     std::int64_t missing = request.tasks;
     for (const auto& it : candidates) {
         const bool isUsed = std::ranges::find(choice.nodes, it.node) != choice.nodes.end();
         if (missing <= 0 || isUsed)
             continue;
-        choice.cost += it.choice.cost;
-        choice.handles.insert(choice.handles.end(), it.choice.handles.begin(), it.choice.handles.end());
+        // Stops on the other executors may have used up what a step can spare.
+        const auto found = evictionsOn(request, it.node, it.copies, choice.stops);
+        if (!found)
+            continue;
+        choice.cost += found->cost;
+        choice.handles.insert(choice.handles.end(), found->handles.begin(), found->handles.end());
         choice.nodes.push_back(it.node);
+        choice.stops = found->stops;
         missing -= it.copies;
     }
     return missing > 0 ? std::nullopt : std::optional { std::move(choice) };
@@ -371,6 +394,10 @@
             const bool chosen = groups.contains(run.group) || std::ranges::find(handles, run.handle) != handles.end();
             if (chosen) {
                 node.releasing += run.charged;
+                if (run.isLasting)
+                    node.lasting -= run.charged;
+                if (run.limitedStep != 0)
+                    ++m_stops[run.limitedStep];
                 plan.evictions.push_back(run.handle);
             }
             return chosen;
--- a/src/lycheespool/dispatch/start_planner.h
+++ b/src/lycheespool/dispatch/start_planner.h
@@ -4,6 +4,7 @@
 #include "lycheespool/dispatch/placement_limits.h"
 #include "lycheespool/dispatch/start_request.h"
 
+#include <map>
 #include <optional>
 #include <set>
 #include <span>
@@ -59,12 +60,17 @@
         bool whenEmpty { false };
     };
 
+    /*! @brief Numbers of stopped service tasks by the limited step that they belong to. */
+    using LimitedStops = std::map<std::size_t, std::size_t>;
+
     /*! @brief Runs to evict for a request. */
     struct EvictionChoice {
         /*! @brief Unsaved work that the eviction discards, core-seconds. */
         double cost { 0 };
         std::vector<std::size_t> handles;
         std::vector<std::size_t> nodes;
+        /*! @brief All stops of limited steps in this plan, including those of this choice. */
+        LimitedStops stops;
     };
 
     using Places = std::vector<std::size_t>;
@@ -85,7 +91,7 @@
     void reserve(const StartRequest& request);
     [[nodiscard]] bool tryEvictFor(const StartRequest& request, StartPlan& plan);
     [[nodiscard]] std::optional<EvictionChoice> evictionsOn(
-        const StartRequest& request, std::size_t node, std::int64_t copies) const;
+        const StartRequest& request, std::size_t node, std::int64_t copies, const LimitedStops& stops) const;
     [[nodiscard]] std::optional<EvictionChoice> chooseEvictions(
         const StartRequest& request, const std::string& rack) const;
     void evict(std::span<const std::size_t> handles, StartPlan& plan);
@@ -94,6 +100,7 @@
     std::vector<NodeCapacity> m_nodes;
     std::vector<bool> m_reserved;
     std::size_t m_reservations { 0 };
+    LimitedStops m_stops;
 };
 
 }
--- a/src/lycheespool/dispatch/start_request.h
+++ b/src/lycheespool/dispatch/start_request.h
@@ -50,6 +50,8 @@
     /*! @brief Other work may be evicted: the work is within its workspace's guarantee, or urgent and about to be late.
      */
     bool mayEvict { false };
+    /*! @brief Service tasks may be evicted too: the work is within its workspace's guarantee. */
+    bool evictsLasting { false };
     /*! @brief Only runs of a higher tier, that is of less important queues, are evicted. */
     std::uint32_t evictsAboveTier { 0 };
     /*! @brief Maximum unsaved work that may be discarded, core-seconds. */
--- a/test/lycheespool/controller/controller.cpp
+++ b/test/lycheespool/controller/controller.cpp
@@ -602,6 +602,59 @@
     CHECK(f.controller.liveRuns().size() == 4);
 }
 
+/*! @brief Fills an executor with two service tasks and hands in urgent work; returns the indices that are stopped. */
+std::vector<std::uint32_t> stoppedFor(
+    std::int64_t accelerators, std::int64_t guaranteed, std::uint32_t maxUnavailable, std::uint32_t secondPercent = 100)
+{
+    Fixture f;
+    auto config = std::make_shared<OperatorConfig>();
+    config->workspaces.push_back({ "urgent", {}, guaranteed });
+    f.controller.setConfig(std::move(config));
+    auto filler = Fixture::job(2);
+    filler.request.steps[0].perTask.accelerators = 4;
+    filler.request.steps[0].isService = true;
+    filler.request.steps[0].maxUnavailable = maxUnavailable;
+    f.controller.addJob("filler", filler, {}, 0, Fixture::at(0).steady);
+    f.receive(f.report(10), 10);
+    (void)f.controller.plan(Fixture::at(10));
+    f.storeAll();
+    (void)f.controller.takeOrders(Fixture::at(10));
+    auto report = f.report(5000);
+    report.running = { { "filler.0.0.0", 1, {}, 100 }, { "filler.0.0.1", 1, {}, secondPercent } };
+    f.receive(report, 5000);
+    auto urgent = Fixture::job();
+    urgent.workspace = "urgent";
+    urgent.policy.priority = 0;
+    urgent.acceptedUnixMs = 5000;
+    urgent.request.steps[0].perTask.accelerators = accelerators;
+    f.controller.addJob("urgent", urgent, {}, 0, Fixture::at(5000).steady);
+    for (const std::int64_t ms : { 5010, 5020 })
+        (void)f.controller.plan(Fixture::at(ms));
+    std::vector<std::uint32_t> stopped;
+    for (const auto& [key, run] : f.controller.liveRuns()) {
+        if (run.isStopping())
+            stopped.push_back(key.task.position.index);
+    }
+    return stopped;
+}
+
+// Guards against guaranteed work that waits without an end for tasks that never end.
+TEST_CASE("service tasks are stopped for guaranteed work only, and no more of them than it needs")
+{
+    CHECK(stoppedFor(4, 8, 0).size() == 1);
+    CHECK(stoppedFor(8, 8, 0).size() == 2);
+    CHECK(stoppedFor(4, 0, 0).empty());
+}
+
+// Guards against stops that make more tasks of a step unavailable than the step permits.
+TEST_CASE("guaranteed work leaves as many tasks of a step at work as the step requires")
+{
+    CHECK(stoppedFor(4, 8, 1).size() == 1);
+    CHECK(stoppedFor(8, 8, 1).empty());
+    CHECK(stoppedFor(8, 8, 2).size() == 2);
+    CHECK(stoppedFor(4, 8, 1, 50) == std::vector<std::uint32_t> { 1 });
+}
+
 /*! @brief Starts a job's task again and again on executors that crash 20 ms after they start it. */
 class CrashingTask {
 public:
--- a/test/lycheespool/dispatch/start_planner.cpp
+++ b/test/lycheespool/dispatch/start_planner.cpp
@@ -428,6 +428,26 @@
     CHECK(planOne(cluster, request).starts.size() == 1);
 }
 
+// Guards against stops on several executors or for several requests that together exceed what a step can spare.
+TEST_CASE("one plan stops no more service tasks of a step than the step can spare")
+{
+    auto cluster = nodes(2);
+    for (std::size_t i = 0; i < cluster.size(); ++i) {
+        cluster[i].free = {};
+        cluster[i].lasting = workerCapacity;
+        cluster[i].evictable.push_back({ i, 0, 2, workerCapacity, 1.0, true, 1, 1 });
+    }
+    auto request = tasks(1, 8);
+    request.mayEvict = true;
+    CHECK(planOne(cluster, request).evictions.empty());
+    request.evictsLasting = true;
+    CHECK(planOne(cluster, request).evictions.size() == 1);
+    const std::vector<StartRequest> requests { request, request };
+    CHECK(StartPlanner { cluster }.plan(requests).evictions.size() == 1);
+    request.tasks = 2;
+    CHECK(planOne(cluster, request).evictions.empty());
+}
+
 // Guards against urgent gangs that end late because of their slowest member.
 TEST_CASE("a gang that prefers fast executors takes the rack whose slowest executor is the fastest")
 {
