Keep the checkpoint that a task makes when it is stopped

Callers saw a stopped task repeat work that it had saved: the end of the run carries a new checkpoint, and releaseRun() then replaced it with the older one of the latest list. The checkpoint of the end now becomes that of the run before the run is released.

--- a/src/lycheespool/controller/controller_runs.cpp
+++ b/src/lycheespool/controller/controller_runs.cpp
@@ -176,7 +176,9 @@
                 { "reason", it->second.stopReason } });
         const auto& position = key.task.position;
         const bool isGang = job->row.request.steps[position.step].isGang;
-        recordCheckpoint(*job, key, end.checkpoint);
+        // The checkpoint of the end is newer than the one that was listed before.
+        if (!end.checkpoint.empty())
+            it->second.checkpoint = end.checkpoint;
         if (end.kind == RunEndKind::done)
             recordDuration(*job, key, it->second, now);
         const auto run = it->second;
--- a/test/lycheespool/controller/controller.cpp
+++ b/test/lycheespool/controller/controller.cpp
@@ -655,6 +655,21 @@
     CHECK(stoppedFor(4, 8, 1, 50) == std::vector<std::uint32_t> { 1 });
 }
 
+// Guards against a restart that repeats the work which a stopped task saved when it ended.
+TEST_CASE("the checkpoint of a stop is kept in place of the one that was listed before")
+{
+    Fixture f;
+    const auto run = f.startOne(10);
+    auto report = f.report(2000);
+    report.running = { { run.task, run.run, "000010", 40 } };
+    f.receive(report, 2000);
+    report = f.report(2100);
+    report.ended = { { 1, run.task, run.run, RunEndKind::stopped, "000020" } };
+    f.receive(report, 2100);
+    CHECK(f.controller.liveRuns().empty());
+    CHECK(f.controller.jobs().at("job").progress.at({ 0, 0, 0 }).checkpoint == "000020");
+}
+
 /*! @brief Starts a job's task again and again on executors that crash 20 ms after they start it. */
 class CrashingTask {
 public:
