--- a/src/lycheespool/controller/controller_planning.cpp
+++ b/src/lycheespool/controller/controller_planning.cpp
@@ -31,6 +31,12 @@
 // Room in the progress row for the checkpoint of a task, bytes; executors use 16. Longer ones are left out of a full
 // row.
 constexpr std::size_t checkpointBytes = 32;
+// Longest time that work waits for executors on which its job has not failed, and service tasks for unsuspected ones or
+// for their rack; work must run again within 3 s if there is room, and a start takes up to 0.5 s.
+constexpr std::int64_t maxAvoidanceMs = 2000;
+
+// A service task is at work when its percent is 100.
+constexpr std::uint32_t percentAtWork = 100;
 
 double coreEquivalent(const ResourceVector& amount)
 {
@@ -154,6 +160,7 @@
     request.dataRack = spec.dataRack;
     request.maxPerNode = spec.maxPerExecutor;
     request.mayEvict = isGuaranteed;
+    request.evictsLasting = isGuaranteed;
     request.speedWeight
         = policy.priority == 0 ? m_settings.policy.urgentSpeedWeight : m_settings.policy.normalSpeedWeight;
     // Waiting for the preferred rack pays off until the wait exceeds a share of the extra run time elsewhere. Time that
@@ -162,7 +169,9 @@
     request.hasStartBound = isGuaranteed && job.progress.state == WorkloadState::pending;
     request.acceptsRemote = !m_settings.policy.waitsForRack
         || static_cast<double>(readyMs) > remoteCost * m_settings.policy.rackWaitShare
-        || (request.hasStartBound && ageMs > guaranteedRackWaitMs);
+        || (request.hasStartBound && ageMs > guaranteedRackWaitMs) || (spec.isService && readyMs >= maxAvoidanceMs);
+    request.acceptsAvoided = readyMs >= maxAvoidanceMs;
+    request.acceptsSuspected = spec.isService && request.acceptsAvoided;
 
     // No task of a gang runs while the gang waits, so its task counts per executor start at zero.
     for (std::uint32_t i = 0; i < spec.tasks && !spec.isGang && spec.maxPerExecutor > 0; ++i) {
@@ -227,6 +236,8 @@
     const auto& spec = job.row.request.steps[step.step];
     const auto& policy = m_settings.policy;
     const auto maxAttempts = policyOf(job).maxAttempts;
+    // Service tasks are started again however often they fail.
+    const bool limitsAttempts = policy.protectsLastAttempt && !spec.isService;
     const auto& round = step.job->round(step.occurrence, step.step);
     const auto timing = retryTiming(step.input, policy.retry);
     auto room = startableTasks(job);
@@ -241,6 +252,7 @@
     auto& request = retry.request;
     request.prefersReliable = true;
     request.acceptsUnproven = false;
+    request.acceptsAvoided = false;
     for (const auto i : round.waiting) {
         if (failuresOf(i) == 0) {
             const bool isFirstStart = job.progress.at({ step.occurrence, step.step, i }).lastRun == 0;
@@ -250,13 +262,15 @@
             step.indices.push_back(i);
         } else if (sinceFailure(i) >= timing.delay) {
             retry.indices.push_back(i);
-            request.isLastAttempt
-                = request.isLastAttempt || (policy.protectsLastAttempt && failuresOf(i) + 1 >= maxAttempts);
+            request.isLastAttempt = request.isLastAttempt || (limitsAttempts && failuresOf(i) + 1 >= maxAttempts);
             request.acceptsUnproven = request.acceptsUnproven || sinceFailure(i) >= timing.provenWait;
+            request.acceptsAvoided = request.acceptsAvoided
+                || (step.readyMs >= maxAvoidanceMs && sinceFailure(i) >= std::chrono::milliseconds { maxAvoidanceMs });
         }
     }
     if (spec.isGang && step.indices.size() < spec.tasks)
         step.indices.clear();
+    request.acceptsSuspected = spec.isService && request.acceptsAvoided;
     const auto add = [&](WaitingStep it) {
         it.request.tasks = static_cast<std::uint32_t>(it.indices.size());
         if (!it.indices.empty())
@@ -297,6 +311,27 @@
     return nextDue;
 }
 
+/*! @brief Returns the number of service tasks of a step that are not at work, for whatever reason. */
+std::size_t Controller::unavailableTasks(const ManagedWorkload& job, const TaskPosition& position, TimePoint now) const
+{
+    const auto& step = job.row.request.steps[position.step];
+    const auto isInContact = [&](const LiveRun& run) {
+        const auto node = m_nodes.find(run.node);
+        return node != m_nodes.end() && node->second.lifetime == run.lifetime && acceptsWork(node->second, now);
+    };
+    std::size_t away = 0;
+    for (std::uint32_t i = 0; i < step.tasks; ++i) {
+        const TaskPosition task { position.occurrence, position.step, i };
+        const bool isAtWork = std::ranges::any_of(job.progress.at(task).placements, [&](const auto& placement) {
+            const auto it = m_runs.find({ { job.id, task }, placement.run });
+            return it != m_runs.end() && it->second.phase == RunPhase::confirmed && !it->second.isStopping()
+                && it->second.percent >= percentAtWork && isInContact(it->second);
+        });
+        away += !isAtWork;
+    }
+    return away;
+}
+
 /*! @brief Collects the runs that other work may evict; the members of a gang share a group and its whole cost. */
 Controller::EvictableRuns Controller::evictableRuns(TimePoint now) const
 {
@@ -304,14 +339,30 @@
     const auto guaranteed = guaranteedJobs();
     std::map<std::tuple<std::string, std::uint32_t, std::uint32_t, std::uint64_t>, std::size_t> groups;
     std::map<std::size_t, double> groupCost;
+    // Number and unavailable tasks of each step that limits its unavailable tasks.
+    std::map<std::tuple<std::string, std::uint32_t, std::uint32_t>, std::pair<std::size_t, std::size_t>> limits;
     for (const auto& [key, run] : m_runs) {
         if (run.isStopping() || guaranteed.contains(key.task.job))
             continue;
         const auto& job = m_jobs.at(key.task.job);
         const auto& step = job.row.request.steps[key.task.position.step];
-        if (step.isService)
-            continue;
         EvictableRun it { runs.keys.size(), 0, policyOf(job).priority + 1, run.charged, evictionCost(key, run, now) };
+        it.isLasting = step.isService;
+        if (step.isService && step.maxUnavailable > 0) {
+            const auto& position = key.task.position;
+            const auto [limit, isNew] = limits.try_emplace({ key.task.job, position.occurrence, position.step });
+            if (isNew)
+                limit->second = { limits.size(), unavailableTasks(job, position, now) };
+            const auto [number, away] = limit->second;
+            const std::size_t most = step.maxUnavailable;
+            const bool isAway = run.phase != RunPhase::confirmed || run.percent < percentAtWork;
+            // The stop of a task that is unavailable already adds none, but it may be at work since its latest list.
+            const bool addsNone = isAway && !step.isGang && away <= most;
+            if (!addsNone && away + (step.isGang ? step.tasks : 1) > most)
+                continue;
+            it.limitedStep = addsNone ? 0 : number;
+            it.stopsLeft = addsNone ? 0 : most - away;
+        }
         if (step.isGang) {
             const std::tuple group { key.task.job, key.task.position.occurrence, key.task.position.step, key.run };
             it.group = groups.try_emplace(group, groups.size() + 1).first->second;
@@ -335,6 +386,7 @@
 {
     std::map<Lifetime, ResourceVector> busy;
     std::map<Lifetime, ResourceVector> releasing;
+    std::map<Lifetime, ResourceVector> lasting;
     std::map<Lifetime, std::size_t> trials;
     for (const auto& [key, run] : m_runs) {
         busy[run.lifetime] += run.charged;
@@ -342,6 +394,8 @@
             ++trials[run.lifetime];
         if (run.isStopping())
             releasing[run.lifetime] += run.charged;
+        else if (m_jobs.at(key.task.job).row.request.steps[key.task.position.step].isService)
+            lasting[run.lifetime] += run.charged;
     }
     std::map<std::string, std::vector<NodeCapacity>> nodesByService;
     for (const auto& [name, node] : m_nodes) {
@@ -355,6 +409,7 @@
         candidate.free = node.capacity;
         candidate.free -= busy[node.lifetime];
         candidate.releasing = releasing[node.lifetime];
+        candidate.lasting = lasting[node.lifetime];
         candidate.reliability = trustOf(node, now);
         candidate.acceptsProbe = now >= node.nextProbeAt;
         if (candidate.reliability != NodeReliability::proven)
--- a/src/lycheespool/dispatch/start_planner.cpp
+++ b/src/lycheespool/dispatch/start_planner.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <numeric>
 #include <tuple>
 
@@ -67,13 +68,21 @@
     if (!isAllowed(request, node, scope))
         return 0;
     const auto& it = m_nodes[node];
-    auto available = scope.whenEmpty ? it.capacity : it.free;
+    auto available = it.free;
+    if (scope.whenEmpty) {
+        available = it.capacity;
+        available -= it.lasting;
+        for (const auto& run : it.evictable) {
+            if (run.isLasting && request.evictsLasting)
+                available += run.charged;
+        }
+    }
     if (scope.withReleasing)
         available += it.releasing;
     auto copies = std::min<std::int64_t>(request.perTask.copiesIn(available), request.tasks);
     // A single task shows whether a suspected executor has recovered.
     if (it.reliability == NodeReliability::suspected && !request.isGang && !scope.whenEmpty) {
-        const bool mayProbe = !it.isBusy && (it.acceptsProbe || request.hasStartBound);
+        const bool mayProbe = request.acceptsSuspected || (!it.isBusy && (it.acceptsProbe || request.hasStartBound));
         copies = mayProbe ? std::min<std::int64_t>(copies, 1) : 0;
     }
     if (request.maxPerNode > 0) {
@@ -185,22 +194,28 @@
 }
 
 /*! @brief Returns the scope of executors that may start a request. Less reliable executors are excluded only if the
- * others could hold the request when they are empty. */
+ * others could hold the request when all tasks that end have ended, and avoided ones only for a limited wait. */
 StartPlanner::Scope StartPlanner::eligibleScope(const StartRequest& request) const
 {
     Scope any { .reliability = NodeReliability::suspected, .withAvoided = true };
     // The failure of one member fails the whole gang.
-    if (!request.isGang && !request.prefersReliable)
+    const bool acceptsAny = !request.isGang && !request.prefersReliable;
+    if (acceptsAny || request.acceptsSuspected)
         return any;
     const std::int64_t needed = request.isGang ? request.tasks : 1;
+    const auto scopeOf = [&](NodeReliability reliability) {
+        return Scope { .reliability = reliability, .withAvoided = request.acceptsAvoided };
+    };
     const auto couldHold = [&](NodeReliability reliability) {
-        return copiesIn(request, { .reliability = reliability, .whenEmpty = true }) >= needed;
+        auto empty = scopeOf(reliability);
+        empty.whenEmpty = true;
+        return copiesIn(request, empty) >= needed;
     };
     if (request.isLastAttempt && !request.acceptsUnproven && couldHold(NodeReliability::proven))
-        return { .reliability = NodeReliability::proven };
+        return scopeOf(NodeReliability::proven);
     if (request.isLastAttempt && couldHold(NodeReliability::reliable))
-        return { .reliability = NodeReliability::reliable };
-    return couldHold(NodeReliability::failedOnce) ? Scope {} : any;
+        return scopeOf(NodeReliability::reliable);
+    return couldHold(NodeReliability::failedOnce) ? scopeOf(NodeReliability::failedOnce) : any;
 }
 
 /*! @brief Finds a placement on the most reliable executors that have free capacity. */
@@ -215,7 +230,7 @@
         places = find(request, { .reliability = NodeReliability::reliable });
     if (places.empty() && eligible.reliability >= NodeReliability::failedOnce)
         places = find(request, {});
-    if (places.empty() && eligible.reliability >= NodeReliability::suspected)
+    if (places.empty() && eligible.withAvoided)
         places = find(request, eligible);
     return places;
 }
@@ -268,20 +283,32 @@
 
 /*! @brief Chooses runs to evict on one executor so that the given number of tasks fit, and sums their unsaved work. */
 std::optional<StartPlanner::EvictionChoice> StartPlanner::evictionsOn(
-    const StartRequest& request, std::size_t node, std::int64_t copies) const
+    const StartRequest& request, std::size_t node, std::int64_t copies, const LimitedStops& stops) const
 {
     const auto& it = m_nodes[node];
     auto available = it.free;
     available += it.releasing;
     auto runs = it.evictable;
-    std::ranges::sort(runs, {}, [](const auto& run) { return std::pair { run.unsavedCoreSeconds, run.handle }; });
     EvictionChoice choice;
     choice.nodes.push_back(node);
+    choice.stops = stops;
+    // Of runs with equal work, those of the step that can spare the most come first.
+    const auto stopsLeft = [&](const EvictableRun& run) {
+        const auto used = choice.stops[run.limitedStep];
+        return run.limitedStep == 0 ? std::numeric_limits<std::size_t>::max()
+                                    : run.stopsLeft - std::min(run.stopsLeft, used);
+    };
+    std::ranges::sort(runs, {}, [&](const auto& run) {
+        return std::tuple { run.unsavedCoreSeconds, std::numeric_limits<std::size_t>::max() - stopsLeft(run),
+            run.handle };
+    });
     for (const auto& run : runs) {
         if (request.perTask.copiesIn(available) >= copies)
             break;
-        if (run.tier <= request.evictsAboveTier)
+        if (run.tier <= request.evictsAboveTier || (run.isLasting && !request.evictsLasting) || stopsLeft(run) == 0)
             continue;
+        if (run.limitedStep != 0)
+            ++choice.stops[run.limitedStep];
         available += run.charged;
         choice.cost += run.unsavedCoreSeconds;
         choice.handles.push_back(run.handle);
@@ -308,20 +335,26 @@
     for (std::size_t i = 0; i < m_nodes.size(); ++i) {
         // Evicting all runs frees the most capacity; freeing less may cost less per task.
         for (auto copies = copiesOn(request, i, scope); copies > 0; --copies) {
-            if (auto found = evictionsOn(request, i, copies))
+            if (auto found = evictionsOn(request, i, copies, m_stops))
                 candidates.push_back({ found->cost / static_cast<double>(copies), i, copies, std::move(*found) });
         }
     }
     std::ranges::sort(candidates, {}, [](const auto& it) { return std::tuple { it.costPerCopy, it.node, it.copies }; });
     EvictionChoice choice;
+    choice.stops = m_stops;
     std::int64_t missing = request.tasks;
     for (const auto& it : candidates) {
         const bool isUsed = std::ranges::find(choice.nodes, it.node) != choice.nodes.end();
         if (missing <= 0 || isUsed)
             continue;
-        choice.cost += it.choice.cost;
-        choice.handles.insert(choice.handles.end(), it.choice.handles.begin(), it.choice.handles.end());
+        // Stops on the other executors may have used up what a step can spare.
+        const auto found = evictionsOn(request, it.node, it.copies, choice.stops);
+        if (!found)
+            continue;
+        choice.cost += found->cost;
+        choice.handles.insert(choice.handles.end(), found->handles.begin(), found->handles.end());
         choice.nodes.push_back(it.node);
+        choice.stops = found->stops;
         missing -= it.copies;
     }
     return missing > 0 ? std::nullopt : std::optional { std::move(choice) };
@@ -361,6 +394,10 @@
             const bool chosen = groups.contains(run.group) || std::ranges::find(handles, run.handle) != handles.end();
             if (chosen) {
                 node.releasing += run.charged;
+                if (run.isLasting)
+                    node.lasting -= run.charged;
+                if (run.limitedStep != 0)
+                    ++m_stops[run.limitedStep];
                 plan.evictions.push_back(run.handle);
             }
             return chosen;
