Refuse jobs whose numbers overflow, and survive rows that cannot be loaded

Callers saw: a job with 4 steps of 2^31 tasks, 2^31 times, was accepted with 200, and then ended each gateway that led, one after another. A relayed job whose path is not UTF-8 ended the entry that received it.

Cause: the product of tasks and occurrences wrapped to 0 and passed the limit of 6,000 tasks; the leader then threw std::bad_alloc, and its loops expect only Error. The store's client threw a JSON exception for a row name that is not UTF-8, which handleRelayed did not catch either.

Change: sums and products of callers' numbers use checked arithmetic (countTasks, hasValidDueTimes); numbers outside the range of their type are refused before they are converted; the 400 names the field. The due times are limited to 2^53 ms, so that the wait of the leader cannot overflow. A stored job that cannot be loaded, for any reason, is put aside, logged and counted as job_rows_unreadable_total.

Before the change, with the new tests on the code of: "a job whose products or sums overflow is rejected", "a job whose numbers are out of range is refused with the name of the field", "a relayed job whose id is not UTF-8 is refused before the store is called" (503) and "row names that are not UTF-8 are an error of the store's client" (type_error.316) fail. After it test_workload, test_platform and test_controller pass. The test of the leader's host was run only after the change.

--- a/src/lycheespool/controller/leader_host.h
+++ b/src/lycheespool/controller/leader_host.h
@@ -76,6 +76,7 @@
         , m_commitMs { metrics.histogram("progress_commit_ms") }
         , m_takeovers { metrics.counter("leadership_taken_total") }
         , m_commitFailures { metrics.counter("progress_commits_failed_total") }
+        , m_unreadableJobs { metrics.counter("job_rows_unreadable_total") }
     {
     }
 
@@ -318,7 +319,9 @@
         try {
             auto job = unpackValue<JobRow>(row.value);
             m_controller->addJob(id, std::move(job), progress, version, now.steady, row.version);
-        } catch (const Error& error) {
+        } catch (const std::exception& error) {
+            // Any exception that leaves this place would end each process that leads.
+            m_unreadableJobs.add();
             logEvent("job_row_unreadable", { { "job", id }, { "version", row.version }, { "reason", error.what() } });
         }
     }
@@ -369,8 +372,8 @@
             const auto now = clockReading();
             if (m_controller && m_leadership.isHeld(now.steady)) {
                 if (const auto due = decide(now))
-                    pause = std::clamp<Duration>(
-                        std::chrono::milliseconds { *due - now.unixMs }, std::chrono::milliseconds { 1 }, idleInterval);
+                    pause = std::clamp(std::chrono::milliseconds { *due - now.unixMs }, std::chrono::milliseconds { 1 },
+                        std::chrono::duration_cast<std::chrono::milliseconds>(idleInterval));
                 if (!co_await storeChanges())
                     pause = retryPause;
                 sendOrders();
@@ -503,6 +506,7 @@
     LatencyHistogram& m_commitMs;
     Counter& m_takeovers;
     Counter& m_commitFailures;
+    Counter& m_unreadableJobs;
 };
 
 }
--- a/src/lycheespool/workload/job_request.cpp
+++ b/src/lycheespool/workload/job_request.cpp
@@ -23,22 +23,43 @@
 
 }
 
+std::optional<std::uint64_t> countTasks(const JobRequest& request)
+{
+    std::uint64_t tasks = 0;
+    for (const auto& it : request.steps) {
+        if (__builtin_add_overflow(tasks, it.tasks, &tasks))
+            return std::nullopt;
+    }
+    if (__builtin_mul_overflow(tasks, request.occurrenceCount(), &tasks))
+        return std::nullopt;
+    return tasks;
+}
+
+bool hasValidDueTimes(const JobRequest& request)
+{
+    std::int64_t last = 0;
+    const bool isOverflow = __builtin_mul_overflow(request.intervalMs, request.occurrenceCount() - 1, &last)
+        || __builtin_add_overflow(request.firstDueUnixMs, last, &last);
+    const auto isValid = [](std::int64_t ms) { return ms >= -maxDueUnixMs && ms <= maxDueUnixMs; };
+    return !isOverflow && isValid(request.firstDueUnixMs) && isValid(last);
+}
+
 std::optional<std::string> findValidationError(const JobRequest& request)
 {
     if (request.steps.empty())
         return "the job has no steps; add at least one";
     if (request.steps.size() > maxStepsPerJob)
         return fmt::format("the job has {} steps; use at most {}", request.steps.size(), maxStepsPerJob);
-    std::uint64_t tasks = 0;
     for (std::size_t i = 0; i < request.steps.size(); ++i) {
         if (auto fault = findStepError(request.steps[i], i))
             return fault;
-        tasks += request.steps[i].tasks;
     }
-    if (tasks * request.occurrenceCount() > maxTasksPerJob)
-        return fmt::format("the job has {} tasks; use at most {}", tasks * request.occurrenceCount(), maxTasksPerJob);
+    if (const auto tasks = countTasks(request); !tasks || *tasks > maxTasksPerJob)
+        return fmt::format("the job has more than {} tasks over all steps and occurrences; use fewer", maxTasksPerJob);
     if (request.occurrences > 0 && request.intervalMs < 0)
         return "the interval is negative; use 0 or more";
+    if (request.occurrences > 0 && !hasValidDueTimes(request))
+        return "an occurrence is due too far from the present; use an earlier time or a shorter interval";
     return std::nullopt;
 }
 
--- a/src/lycheespool/workload/job_request.h
+++ b/src/lycheespool/workload/job_request.h
@@ -57,9 +57,26 @@
 };
 
 /*! @brief Maximum number of tasks of a job over all steps and occurrences; limits the progress row to 64 KiB. */
-inline constexpr std::uint64_t maxTasksPerJob = 6000;
+inline constexpr std::uint32_t maxTasksPerJob = 6000;
 /*! @brief Maximum number of steps of a job. */
 inline constexpr std::size_t maxStepsPerJob = 200;
+/*! @brief Latest time at which an occurrence may be due, Unix ms; 2^53, so that differences from it fit into 64 bits.
+ */
+inline constexpr std::int64_t maxDueUnixMs = std::int64_t { 1 } << 53;
+
+/**
+ * @brief Counts the tasks of a job over all steps and occurrences.
+ * @param request The job.
+ * @return Number of tasks, or nothing if it does not fit into 64 bits.
+ */
+[[nodiscard]] std::optional<std::uint64_t> countTasks(const JobRequest& request);
+
+/**
+ * @brief Checks the times at which the occurrences of a job are due.
+ * @param request The job.
+ * @return True if no occurrence is due more than @ref maxDueUnixMs before or after 1970.
+ */
+[[nodiscard]] bool hasValidDueTimes(const JobRequest& request);
 
 /**
  * @brief Finds the first reason to reject a job.
--- a/test/lycheespool/workload/job_model.cpp
+++ b/test/lycheespool/workload/job_model.cpp
@@ -5,6 +5,9 @@
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
+#include <limits>
+#include <utility>
+
 using namespace lycheespool;
 
 namespace {
@@ -43,6 +46,34 @@
     CHECK(findValidationError(negative));
 }
 
+// Guards against a job whose task count overflows to 0, is accepted and ends each process that leads.
+TEST_CASE("a job whose products or sums overflow is rejected")
+{
+    JobRequest zero;
+    zero.steps.resize(4);
+    for (auto& it : zero.steps)
+        it.tasks = 2'147'483'648U;
+    zero.occurrences = 2'147'483'648U;
+    CHECK(findValidationError(zero));
+    constexpr auto highest = std::numeric_limits<std::int64_t>::max();
+    constexpr auto lowest = std::numeric_limits<std::int64_t>::min();
+    for (const auto& [first, interval] : { std::pair { highest, std::int64_t { 0 } }, { lowest, std::int64_t { 0 } },
+             { std::int64_t { 1 }, highest }, { std::int64_t { 1 } << 53, std::int64_t { 1 } } }) {
+        CAPTURE(first);
+        CAPTURE(interval);
+        auto job = twoSteps();
+        job.occurrences = 3;
+        job.firstDueUnixMs = first;
+        job.intervalMs = interval;
+        CHECK(findValidationError(job));
+    }
+    auto valid = twoSteps();
+    valid.occurrences = 3;
+    valid.firstDueUnixMs = 1'780'000'000'000;
+    valid.intervalMs = 50;
+    CHECK_FALSE(findValidationError(valid));
+}
+
 TEST_CASE("a task name is parsed from its text form, and other texts are rejected")
 {
     CHECK(rc::check("round trip", [](std::uint32_t k, std::uint32_t s, std::uint32_t i) {
--- a/test/platform/client_api.cpp
+++ b/test/platform/client_api.cpp
@@ -1,6 +1,7 @@
 #include "platform/client_api.h"
 
 #include "platform/operator_codec.h"
+#include "platform/store_client.h"
 
 #include "lycheespool/net/rpc_server.h"
 #include "lycheespool/store/fake_row_store.h"
@@ -68,6 +69,13 @@
         return asio::co_spawn(m_pool.context(), m_api.handleOrRelay(request), asio::use_future).get().status;
     }
 
+    /*! @brief Handles a job that another entry relayed, and returns the status. */
+    unsigned postRelayed(const std::string& path)
+    {
+        ClientCall call { "POST", path, { { "Host", "h" } }, R"({"steps":[{"count":1}]})" };
+        return asio::co_spawn(m_pool.context(), m_api.handleRelayed(call), asio::use_future).get().status;
+    }
+
     [[nodiscard]] int relayed() const { return m_relayed; }
 
 private:
@@ -106,6 +114,24 @@
     CHECK(f.relayed() == 0);
 }
 
+// Guards against a relayed request that ends the entry which receives it.
+TEST_CASE("a relayed job whose id is not UTF-8 is refused before the store is called")
+{
+    Fixture f { 200 };
+    CHECK(f.postRelayed("/p/\xff") == 400);
+    CHECK(f.postRelayed("/p/id") == 503);
+}
+
+// Guards against an exception that no loop of a gateway expects.
+TEST_CASE("row names that are not UTF-8 are an error of the store's client")
+{
+    Metrics metrics;
+    platform::StoreClient store { { "127.0.0.1", 1 }, metrics };
+    RowTransaction transaction;
+    transaction.writes.push_back({ { "t", {}, "\xff" }, std::string {} });
+    CHECK_THROWS_AS((void)await(store.commit(std::move(transaction), 100ms)), Error);
+}
+
 // Guards against a wait of nearly two seconds for urgent jobs at an entry that is cut off from the store.
 TEST_CASE("a job is stored through another entry while the store does not answer this one")
 {
--- a/test/platform/codecs.cpp
+++ b/test/platform/codecs.cpp
@@ -45,6 +45,31 @@
     }));
 }
 
+// Guards against numbers of a caller that wrap around, and against a refusal that does not say which field is wrong.
+TEST_CASE("a job whose numbers are out of range is refused with the name of the field")
+{
+    const std::pair<std::string, std::string> cases[] {
+        { R"({"steps":[{"count":2147483648}]})", "count" },
+        { R"({"steps":[{"count":1}],"maxRuns":2147483648})", "maxRuns" },
+        { R"({"steps":[{"count":2147483648},{"count":2147483648}],"maxRuns":2147483648})", "count" },
+        { R"({"steps":[{"count":80}],"maxRuns":80})", "maxRuns" },
+        { R"({"steps":[{"count":1,"cpu":1e300}]})", "cpu" },
+        { R"({"steps":[{"count":1}],"maxRuns":2,"initialDelayMs":18446744073709551615})", "initialDelayMs" },
+        { R"({"steps":[{"count":1}],"maxRuns":2,"initialDelayMs":1e300})", "initialDelayMs" },
+        { R"({"steps":[{"count":1}],"maxRuns":3,"intervalMs":9223372036854775807})", "intervalMs" },
+    };
+    for (const auto& [body, field] : cases) {
+        CAPTURE(body);
+        try {
+            (void)decodeJob(body);
+            FAIL_CHECK("accepted");
+        } catch (const Error& error) {
+            CHECK((error.kind() == ErrorKind::invalidArgument));
+            CHECK(std::string { error.what() }.find(field) != std::string::npos);
+        }
+    }
+}
+
 TEST_CASE("a config is decoded, and a malformed one keeps the previous config")
 {
     const auto* const text = R"({"version":7,"routes":[{"name":"r","host":"h","pathPrefix":"/p/","service":"s",
