Show a job as running only once an executor has begun it

Callers saw: queuedCount was 0 while jobs waited whose start an executor had refused, and their state was running.

Cause: the plan of a start set the state to running, and a refused start did not set it back.

Change: the state becomes running when an executor confirms a run, lists it, or lists an end of it that is not a stop. The wait for the first start is measured until then as well. Planning no longer reads the state: wasPlanned keeps the meaning that the state had there, and is restored from the run numbers in the progress row. Each job has one more change of its progress row.

--- a/src/lycheespool/controller/controller.h
+++ b/src/lycheespool/controller/controller.h
@@ -224,6 +224,7 @@
     void recordFailure(
         ManagedWorkload& job, const RunKey& key, const LiveRun& run, ExecutorView& node, const ClockReading& now);
     void recordSuspicion(ManagedWorkload& job, const LiveRun& run, ExecutorView& node, const ClockReading& now);
+    void markBegun(ManagedWorkload& job, const ClockReading& now);
     void markDone(ManagedWorkload& job, const TaskPosition& position, const ClockReading& now);
     void releaseRun(Runs::iterator it);
     void stopRun(const RunKey& key, const std::string& reason);
--- a/src/lycheespool/controller/controller_jobs.cpp
+++ b/src/lycheespool/controller/controller_jobs.cpp
@@ -88,6 +88,7 @@
         auto& round = job.round(position.occurrence, position.step);
         if (!task.done)
             ++round.open;
+        job.wasPlanned = job.wasPlanned || task.done || task.lastRun > 0;
         round.gangFailures += task.failures;
         round.lastFailedRun = std::max(round.lastFailedRun, task.lastFailedRun);
         for (const auto& it : task.placements) {
--- a/src/lycheespool/controller/controller_planning.cpp
+++ b/src/lycheespool/controller/controller_planning.cpp
@@ -151,7 +151,7 @@
     // Waiting for the preferred rack pays off until the wait exceeds a share of the extra run time elsewhere. Time that
     // the job spent on earlier steps or on a lost run does not count as waiting.
     const auto remoteCost = (m_settings.bounds.remoteFactor - 1) * forecast.expectedMs;
-    request.hasStartBound = isGuaranteed && job.progress.state == WorkloadState::pending;
+    request.hasStartBound = isGuaranteed && !job.wasPlanned;
     request.acceptsRemote = !m_settings.policy.waitsForRack
         || static_cast<double>(readyMs) > remoteCost * m_settings.policy.rackWaitShare
         || (request.hasStartBound && ageMs > guaranteedRackWaitMs);
@@ -374,10 +374,7 @@
     // All tasks of the gang are placed; if it has to wait again, its waiting time starts from zero.
     if (spec.isGang)
         round.readySinceMs.reset();
-    if (job.progress.state == WorkloadState::pending) {
-        job.progress.state = WorkloadState::running;
-        m_waitMs.record(static_cast<double>(now.unixMs - job.row.acceptedUnixMs));
-    }
+    job.wasPlanned = true;
     std::vector<std::string> placed;
     for (std::size_t i = 0; i < nodes.size(); ++i) {
         const TaskPosition position { waiting.occurrence, waiting.step, waiting.indices[i] };
--- a/src/lycheespool/controller/controller_runs.cpp
+++ b/src/lycheespool/controller/controller_runs.cpp
@@ -106,6 +106,8 @@
             continue;
         }
         auto& run = live->second;
+        if (job)
+            markBegun(*job, now);
         if (run.phase != RunPhase::confirmed) {
             run.phase = RunPhase::confirmed;
             run.confirmedAt = now.steady;
@@ -180,6 +182,9 @@
         if (end.kind == RunEndKind::done)
             recordDuration(*job, key, it->second, now);
         const auto run = it->second;
+        // A run may begin and end between two lists.
+        if (end.kind != RunEndKind::stopped)
+            markBegun(*job, now);
         releaseRun(it);
         if (end.kind != RunEndKind::failed)
             recordWork(node, run, now.steady);
@@ -198,6 +203,16 @@
     node.pendingEnds.push_back({ end.number, job->id, job->revision });
 }
 
+/*! @brief Records that an executor has begun a task of the job. */
+void Controller::markBegun(ManagedWorkload& job, const ClockReading& now)
+{
+    if (job.progress.state != WorkloadState::pending)
+        return;
+    job.progress.state = WorkloadState::running;
+    m_waitMs.record(static_cast<double>(now.unixMs - job.row.acceptedUnixMs));
+    markChanged(job);
+}
+
 void Controller::markDone(ManagedWorkload& job, const TaskPosition& position, const ClockReading& now)
 {
     const auto& step = job.row.request.steps[position.step];
@@ -412,6 +427,8 @@
             run.phase = RunPhase::confirmed;
             run.confirmedAt = now.steady;
         }
+        if (auto* const job = findJob(name->job))
+            markBegun(*job, now);
         run.answeredAtMs = outcome.answeredAtMs;
         break;
     case RunOrderResult::stopped: {
--- a/src/lycheespool/controller/managed_workload.h
+++ b/src/lycheespool/controller/managed_workload.h
@@ -53,6 +53,9 @@
     std::uint64_t jobRowVersion { 0 };
     /*! @brief Nodes on which tasks of the job failed. */
     std::set<std::string> failedNodes;
+    /*! @brief A start of a task was planned, in this term or before; an executor may have refused it. */
+    bool wasPlanned { false };
+
     [[nodiscard]] StepRound& round(std::uint32_t occurrence, std::uint32_t step)
     {
         return rounds[occurrence * row.request.steps.size() + step];
