Keep a sound executor when a ping of another writer arrives

Callers saw: a ping with an unknown service took the place of a sound executor; its tasks were started again elsewhere while they still ran.

Cause: the agent adopted each announcement of a newer lifetime at once.

Change: an announcement of another lifetime replaces an executor that has answered only when the executor's address answers for another lifetime, and with the announced start if the answer names one. Silence or a refusal is no proof. A lifetime that has never answered no longer keeps out one with an earlier start. The agent needs no list of services, so it reads nothing more from the store. A restarted executor is adopted with its next call, which the announcement triggers.

Before the change, "an announcement of another writer does not take the place of a sound executor", "... of an executor that is cut off for a while" and "a foreign announcement does not keep out an executor that started before it" failed; "an executor that restarted is adopted under its new id, and under its old one" passed before and after.

--- a/src/lycheespool/nodeagent/node_agent.h
+++ b/src/lycheespool/nodeagent/node_agent.h
@@ -19,6 +19,7 @@
 #include <algorithm>
 #include <chrono>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -100,6 +101,9 @@
 
     /**
      * @brief Processes an announcement of the executor; ignores outdated ones.
+     *
+     * An announcement of another lifetime may come from another writer. It takes the place of an executor that has
+     * answered only when the address no longer answers for that one.
      * @param announcement The announcement.
      */
     void onAnnouncement(const ExecutorAnnouncement& announcement)
@@ -112,7 +116,9 @@
                 { { "executor", announcement.lifetime.executor }, { "born", announcement.lifetime.startedUnixMs } });
             return;
         }
-        const bool isOutdated = announcement.lifetime.startedUnixMs < known.lifetime.startedUnixMs
+        // A lifetime that never answered may be a foreign one, which must not keep out the executor.
+        const bool isOutdated
+            = (m_leaseClock.hasSample() && announcement.lifetime.startedUnixMs < known.lifetime.startedUnixMs)
             || (announcement.lifetime == known.lifetime && announcement.sequence <= known.sequence);
         if (isOutdated) {
             logEvent("announcement_outdated",
@@ -120,22 +126,13 @@
             return;
         }
         const bool isNew = announcement.lifetime != known.lifetime;
-        const bool isChanged = isNew || announcement.state != known.state;
-        if (isNew && known.lifetime.isKnown() && known.state == ExecutorState::ready) {
-            m_previousLifetime = known.lifetime;
-            m_previousLostAtMs = m_unreachableAtMs > 0 ? m_unreachableAtMs : clockMs(BootClock {}.now());
-        }
-        known = announcement;
-        m_announcedAt = BootClock {}.now();
-        if (isNew)
-            resetLists();
-        if (isChanged) {
-            logEvent("executor_announced",
-                { { "executor", known.lifetime.executor }, { "born", known.lifetime.startedUnixMs },
-                    { "state", static_cast<int>(known.state) }, { "new_lifetime", isNew } });
+        if (isNew && known.state != ExecutorState::departed && m_leaseClock.hasSample()) {
+            m_successor = announcement;
+            m_successorAt = BootClock {}.now();
             m_holdDue.wake();
-            m_reportDue.wake();
+            return;
         }
+        adopt(announcement);
     }
 
     /**
@@ -159,6 +156,46 @@
             m_executor, [self, loop]() -> Awaitable<> { co_await ((*self).*loop)(); }, asio::detached);
     }
 
+    void adopt(const ExecutorAnnouncement& announcement)
+    {
+        auto& known = m_executorState;
+        const bool isNew = announcement.lifetime != known.lifetime;
+        const bool isChanged = isNew || announcement.state != known.state;
+        if (isNew && known.lifetime.isKnown() && known.state == ExecutorState::ready) {
+            m_previousLifetime = known.lifetime;
+            m_previousLostAtMs = m_unreachableAtMs > 0 ? m_unreachableAtMs : clockMs(BootClock {}.now());
+        }
+        known = announcement;
+        m_announcedAt = BootClock {}.now();
+        if (isNew) {
+            m_successor.reset();
+            resetLists();
+        }
+        if (isChanged) {
+            logEvent("executor_announced",
+                { { "executor", known.lifetime.executor }, { "born", known.lifetime.startedUnixMs },
+                    { "state", static_cast<int>(known.state) }, { "new_lifetime", isNew } });
+            m_holdDue.wake();
+            m_reportDue.wake();
+        }
+    }
+
+    /*! @brief Decides about an announced successor, once the executor's address has answered for the known lifetime. */
+    void resolveSuccessor(bool isKnownSound, std::optional<std::int64_t> startedUnixMs, TimePoint sent)
+    {
+        if (!m_successor || sent < m_successorAt)
+            return;
+        const auto successor = *std::exchange(m_successor, std::nullopt);
+        const bool isOther = startedUnixMs && *startedUnixMs != successor.lifetime.startedUnixMs;
+        if (!isKnownSound && !isOther) {
+            adopt(successor);
+            return;
+        }
+        logEvent("announcement_foreign",
+            { { "executor", successor.lifetime.executor }, { "service", successor.service },
+                { "known_executor", m_executorState.lifetime.executor } });
+    }
+
     /*! @brief Time that is reported to the leader, ms: includes suspensions, and continues across a restart of the VM,
      * which resets the boot clock to 0. */
     [[nodiscard]] std::uint64_t clockMs(TimePoint now) const
@@ -328,6 +365,8 @@
                     { { "executor", lifetime.executor }, { "kind", static_cast<int>(result.kind) },
                         { "reason", result.reason } });
             }
+            if (isOther)
+                resolveSuccessor(false, result.startedUnixMs, sent);
             co_return false;
         }
         if (!m_leaseClock.isExtending()) {
@@ -336,6 +375,7 @@
             m_reportDue.wake();
             logEvent("executor_reachable_again", { { "executor", lifetime.executor } });
         }
+        resolveSuccessor(true, {}, sent);
         if (result.clockMs)
             m_leaseClock.recordSample(*result.clockMs, BootClock {}.now());
         m_running = std::move(answer.running);
@@ -511,6 +551,9 @@
     LeaseClock m_leaseClock;
     ExecutorAnnouncement m_executorState;
     TimePoint m_announcedAt {};
+    /*! @brief Newest announcement of another lifetime, until the executor's address answers. */
+    std::optional<ExecutorAnnouncement> m_successor;
+    TimePoint m_successorAt {};
     Lifetime m_previousLifetime;
     std::uint64_t m_previousLostAtMs { 0 };
     /*! @brief When the executor stopped answering, ms; 0 while it answers. */
--- /dev/null
+++ b/test/lycheespool/nodeagent/node_agent.cpp
@@ -0,0 +1,115 @@
+#include "lycheespool/nodeagent/node_agent.h"
+
+#include "lycheespool/store/fake_row_store.h"
+
+#include <doctest/doctest.h>
+
+using namespace lycheespool;
+using namespace std::chrono_literals;
+
+namespace {
+
+/*! @brief An address at which one executor answers. */
+struct FakeControl {
+    Lifetime present;
+    /*! @brief No call is answered. */
+    bool isSilent { false };
+    /*! @brief Lifetime that the latest call named. */
+    Lifetime called;
+
+    [[nodiscard]] ExecutorAnswer answerTo(const Lifetime& lifetime)
+    {
+        called = lifetime;
+        ExecutorAnswer answer;
+        if (isSilent)
+            return answer;
+        answer.kind
+            = lifetime.executor == present.executor ? ExecutorAnswerKind::accepted : ExecutorAnswerKind::wrongLifetime;
+        answer.clockMs = 1000;
+        answer.startedUnixMs = present.startedUnixMs;
+        return answer;
+    }
+    [[nodiscard]] Awaitable<ExecutorAnswer> start(RunStart start, Duration) { co_return answerTo(start.lifetime); }
+    [[nodiscard]] Awaitable<ExecutorAnswer> stop(RunStop stop, Duration) { co_return answerTo(stop.lifetime); }
+    [[nodiscard]] Awaitable<HoldAnswer> hold(HoldRequest request, Duration)
+    {
+        co_await sleepFor(5ms);
+        co_return HoldAnswer { answerTo(request.lifetime), {}, {} };
+    }
+};
+
+/*! @brief An agent with one executor, which has answered. */
+class AgentFixture {
+public:
+    AgentFixture()
+    {
+        control.present = sound;
+        m_agent->start();
+        announce(sound);
+    }
+
+    void announce(const Lifetime& lifetime, const std::string& service = "service", Duration time = 400ms)
+    {
+        ExecutorAnnouncement announcement;
+        announcement.lifetime = lifetime;
+        announcement.sequence = ++m_sequence;
+        announcement.service = service;
+        m_agent->onAnnouncement(announcement);
+        m_context.restart();
+        m_context.run_for(time);
+    }
+
+    const Lifetime sound { "i-sound", unixMillis() - 5000 };
+    const Lifetime foreign { "i-foreign", unixMillis() };
+    FakeControl control;
+
+private:
+    FakeRows m_rows;
+    FakeRowStore m_store { m_rows };
+    Metrics m_metrics;
+    std::uint64_t m_sequence { 0 };
+    asio::io_context m_context;
+    std::shared_ptr<NodeAgent<FakeRowStore, FakeControl>> m_agent {
+        std::make_shared<NodeAgent<FakeRowStore, FakeControl>>(
+            m_context.get_executor(), NodeSettings {}, m_store, control, RowNames {}, m_metrics)
+    };
+};
+
+}
+
+TEST_CASE("an announcement of another writer does not take the place of a sound executor")
+{
+    AgentFixture f;
+    f.announce(f.foreign, "of others");
+    CHECK((f.control.called == f.sound));
+}
+
+TEST_CASE("an announcement of another writer does not take the place of an executor that is cut off for a while")
+{
+    AgentFixture f;
+    f.control.isSilent = true;
+    f.announce(f.foreign, "of others");
+    f.control.isSilent = false;
+    f.announce(f.sound);
+    CHECK((f.control.called == f.sound));
+}
+
+TEST_CASE("an executor that restarted is adopted under its new id, and under its old one")
+{
+    for (const auto* const id : { "i-next", "i-sound" }) {
+        CAPTURE(id);
+        AgentFixture f;
+        f.control.present = { id, unixMillis() };
+        f.announce(f.control.present);
+        CHECK((f.control.called == f.control.present));
+    }
+}
+
+TEST_CASE("a foreign announcement does not keep out an executor that started before it")
+{
+    AgentFixture f;
+    f.control.present = { "i-next", f.foreign.startedUnixMs - 1000 };
+    f.announce(f.foreign, "of others");
+    f.announce(f.control.present);
+    CHECK((f.control.called == f.control.present));
+}
