Count the loss of a run whose executor returns after its permits expired

Cause: since a loss counts only with the report of a newer lifetime, runs that were released when the permits expired were not counted when that report came.

Change: the leader remembers which runs may have begun when it releases them at the expiry, and counts their losses if the agent reports that their lifetime has ended; it forgets them when the executor answers again.

Test: 'a task is given up after five crashes of executors that return late'. The test of a gang that loses all members now checks every member.

The fake executor of the agent's tests answers for one lifetime, as the adoption of a successor needs the address to answer for it.

--- a/src/lycheespool/controller/controller_runs.cpp
+++ b/src/lycheespool/controller/controller_runs.cpp
@@ -48,6 +48,11 @@
         node.node = report.node;
     if (report.lifetime.isKnown() && report.lifetime != node.lifetime) {
         releaseLostRuns(report.node, report.lifetime, "the node reports a new lifetime of its executor", now, &report);
+        for (const auto& key : node.expiredRuns) {
+            auto* const job = findJob(key.task.job);
+            if (job && node.lifetime == report.previousLifetime)
+                recordLoss(*job, key, false, report.node, now);
+        }
         const auto permitsExpireAt = node.permitsExpireAt;
         node = ExecutorView {};
         node.node = report.node;
@@ -65,6 +70,8 @@
     }
     if (report.provesExecutor() && std::exchange(node.isLost, false))
         logEvent("executor_regained", { { "node", report.node }, { "executor", report.lifetime.executor } });
+    if (!node.isLost)
+        node.expiredRuns.clear();
     node.zone = report.zone;
     node.state = report.state;
     node.service = report.service;
@@ -456,6 +463,12 @@
                     { "agent_silent_ms",
                         std::chrono::duration_cast<std::chrono::milliseconds>(now.steady - node.lastReportAt).count() },
                     { "lists_age_ms", node.newestReportMs - node.listedAtMs } });
+            if (node.state == ExecutorState::ready) {
+                for (const auto& [key, run] : m_runs) {
+                    if (run.lifetime == node.lifetime && run.mayHaveBegun())
+                        node.expiredRuns.insert(key);
+                }
+            }
             releaseLostRuns(name, {}, "the permits of the node expired", now);
         }
     }
--- a/src/lycheespool/controller/executor_view.h
+++ b/src/lycheespool/controller/executor_view.h
@@ -43,6 +43,9 @@
     TimePoint permitsExpireAt {};
     /*! @brief The permits expired without contact, so no run is left on the node. */
     bool isLost { false };
+    /*! @brief Runs that may have begun and were released when the permits expired; their losses count if the agent
+     * reports that their lifetime has ended. */
+    std::set<RunKey> expiredRuns;
     /*! @brief Agent's clock when it sent the latest report, ms. */
     std::uint64_t newestReportMs { 0 };
     /*! @brief Agent's clock when it requested the latest lists from the executor, ms; 0 for none. */
--- a/test/lycheespool/controller/controller.cpp
+++ b/test/lycheespool/controller/controller.cpp
@@ -1025,7 +1025,8 @@
         f.receive(report, 3000);
     }
     CHECK(f.controller.jobs().at("job").progress.state == WorkloadState::pending);
-    CHECK(f.controller.jobs().at("job").progress.at({ 0, 0, 0 }).losses == 1);
+    for (std::uint32_t i = 0; i < 6; ++i)
+        CHECK(f.controller.jobs().at("job").progress.at({ 0, 0, i }).losses == 1);
 }
 
 // Guards against adding up crashes under different tasks, none of which has crashed two executors.
@@ -1071,6 +1072,42 @@
     CHECK(f.controller.jobs().at("job").progress.at({ 0, 0, 1 }).crashes == 1);
 }
 
+// Guards against a crashing task without a limit where executors return only after their permits have expired.
+TEST_CASE("a task is given up after five crashes of executors that return late")
+{
+    Fixture f;
+    f.controller.addJob("job", Fixture::job(), {}, 0, Fixture::at(0).steady);
+    int starts = 0;
+    for (int i = 0; i < 8; ++i) {
+        const std::int64_t ms = 20000 + i * 20000;
+        const auto node = "node-" + std::to_string(i);
+        const auto before = f.report(ms, node);
+        f.receive(before, ms);
+        f.controller.superviseRuns(Fixture::at(ms));
+        (void)f.controller.plan(Fixture::at(ms));
+        f.storeAll();
+        const auto orders = f.controller.takeOrders(Fixture::at(ms));
+        if (!orders.contains(node))
+            continue;
+        ++starts;
+        const auto& order = orders.at(node).orders.at(0);
+        f.controller.onOutcome(node, before.lifetime,
+            { order.task, order.run, RunOrderResult::started, {}, static_cast<std::uint64_t>(ms) }, Fixture::at(ms));
+        f.controller.superviseRuns(Fixture::at(ms + 9000));
+        auto returned = f.report(ms + 10000, node);
+        returned.lifetime.startedUnixMs = 2;
+        returned.previousLifetime = before.lifetime;
+        returned.previousLostAtMs = static_cast<std::uint64_t>(ms + 20);
+        f.receive(returned, ms + 10000);
+        // The node takes no part in the next round.
+        returned.state = ExecutorState::draining;
+        f.receive(returned, ms + 10001);
+        f.storeAll();
+    }
+    CHECK(starts == 5);
+    CHECK(f.controller.jobs().at("job").progress.state == WorkloadState::failed);
+}
+
 // Guards against counting one failed run of a gang once for each leader that hears of a member.
 TEST_CASE("members that fail in one run under two leaders spend one attempt of their gang")
 {
--- a/test/lycheespool/controller/row_size.cpp
+++ b/test/lycheespool/controller/row_size.cpp
@@ -131,7 +131,7 @@
             static_cast<std::ptrdiff_t>(std::min<std::size_t>(node.ended.size(), 500)),
             std::back_inserter(report.ended));
         controller.onReport(report, at(m_nowMs));
-        controller.grantPermit(name, at(m_nowMs).steady);
+        (void)controller.grantPermit(report, at(m_nowMs).steady);
     }
 
     std::size_t m_maxValueBytes;
--- a/test/lycheespool/nodeagent/agent_reports.cpp
+++ b/test/lycheespool/nodeagent/agent_reports.cpp
@@ -9,6 +9,7 @@
 #include <atomic>
 #include <functional>
 #include <mutex>
+#include <optional>
 
 using namespace lycheespool;
 using namespace std::chrono_literals;
@@ -20,6 +21,8 @@
     /*! @brief Answers to the next calls; later calls have no answer. */
     std::vector<HoldAnswer> answers;
     std::vector<HoldRequest> holds;
+    /*! @brief Start of the lifetime that answers, Unix ms; calls to another one are refused. Any if empty. */
+    std::optional<std::int64_t> startedUnixMs;
 
     [[nodiscard]] Awaitable<ExecutorAnswer> start(RunStart, Duration) { co_return ExecutorAnswer {}; }
     [[nodiscard]] Awaitable<ExecutorAnswer> stop(RunStop, Duration) { co_return ExecutorAnswer {}; }
@@ -28,7 +31,9 @@
         holds.push_back(std::move(request));
         co_await sleepFor(5ms);
         HoldAnswer answer;
-        if (!answers.empty()) {
+        if (startedUnixMs && holds.back().lifetime.startedUnixMs != *startedUnixMs) {
+            answer.answer.kind = ExecutorAnswerKind::wrongLifetime;
+        } else if (!answers.empty()) {
             answer = std::move(answers.front());
             answers.erase(answers.begin());
         }
@@ -168,6 +173,7 @@
     REQUIRE(f.runUntil([&](const NodeReport&) { return hasLease(1); }));
     f.grantsPermits = false;
     f.executor.answers.assign(20, accepted());
+    f.executor.startedUnixMs = 2;
     f.announce(2);
     REQUIRE(f.runUntil([](const NodeReport& it) { return it.lifetime.startedUnixMs == 2 && it.provesExecutor(); }));
     f.runFor(300ms);
