--- a/test/platform/executor_client.cpp
+++ b/test/platform/executor_client.cpp
@@ -21,8 +21,9 @@
                            co_return response;
                        } };
     server.start();
-    ExecutorClient client { server.address() };
+    // The client's connection uses the context and must end first.
     asio::io_context context;
+    ExecutorClient client { server.address() };
     auto answer = asio::co_spawn(context, client.hold({}, std::chrono::seconds { 10 }), asio::use_future);
     context.run();
     pool.stop();
