Release runs only on evidence that their executor's lifetime has ended

What callers saw (TWICE): a task was started a second time elsewhere while its first run went on to its end; `run_lost`, "the node reports a new lifetime".

Cause: the leader took each report of another lifetime as proof that the known one had ended, although the reported one may have answered nobody: a restarted agent adopts the first announcement that it gets, which may be one of another sender or a delayed one of a former lifetime. It compared no order of lifetimes either, so a late report turned it back to a former one; a new leader did the same with the runs of the rows. The number of stored ends of one lifetime went to an agent that named another one.

Change: a lifetime has ended when the executor's address has answered its agent for a later one, when it has departed, or when its permits have expired. Later is what the agent that knew both reports, or the later start. If the order is unknown, the known lifetime keeps its runs until its permits expire. Reports without evidence are counted and logged (`report_ignored`).

--- a/src/lycheespool/controller/controller.h
+++ b/src/lycheespool/controller/controller.h
@@ -13,6 +13,7 @@
 #include "lycheespool/dispatch/start_request.h"
 #include "lycheespool/wire/node_messages.h"
 
+#include <concepts>
 #include <map>
 #include <memory>
 #include <optional>
@@ -117,11 +118,12 @@
     [[nodiscard]] Duration grantPermit(const NodeReport& report, TimePoint now);
 
     /**
-     * @brief Returns the number up to which the run ends of a node are stored.
+     * @brief Returns the number up to which the run ends of an executor are stored.
      * @param node The node.
-     * @return The number, 0 for none.
+     * @param lifetime Lifetime of the executor; the numbers of each lifetime start anew.
+     * @return The number; 0 for none, and for any other lifetime than the present one.
      */
-    [[nodiscard]] std::uint64_t endsStored(const std::string& node);
+    [[nodiscard]] std::uint64_t endsStored(const std::string& node, const Lifetime& lifetime);
 
     /**
      * @brief Processes the outcome of an order.
@@ -256,7 +258,12 @@
     void stopRun(const RunKey& key, const std::string& reason);
     void stopGangOf(ManagedWorkload& job, const TaskPosition& position, std::uint64_t run, const std::string& reason);
     void recordCheckpoint(ManagedWorkload& job, const RunKey& key, const std::string& checkpoint);
-    void releaseLostRuns(const std::string& node, const Lifetime& present, const std::string& reason,
+    [[nodiscard]] static bool showsEndOf(const Lifetime& lifetime, const NodeReport& report);
+    [[nodiscard]] static bool replacesExecutor(const ExecutorView& node, const NodeReport& report);
+    void ignoreReport(ExecutorView& node, const NodeReport& report);
+    void adoptLifetime(ExecutorView& node, const NodeReport& report, const ClockReading& now);
+    template <std::predicate<const Lifetime&> HasEnded>
+    void releaseLostRuns(const std::string& node, const HasEnded& hasEnded, const std::string& reason,
         const ClockReading& now, const NodeReport* report = nullptr);
     [[nodiscard]] static bool hasJustStarted(const LiveRun& run, const NodeReport* report);
     [[nodiscard]] static bool countsAsLoss(const LiveRun& run, const NodeReport* report, std::size_t startingJobs);
@@ -326,6 +333,7 @@
     Counter& m_runsFailed;
     Counter& m_runsFailedOnSuspects;
     Counter& m_runsLost;
+    Counter& m_reportsIgnored;
     Counter& m_crashesAttributed;
     Counter& m_runsEvicted;
     Counter& m_runsStalled;
--- a/src/lycheespool/controller/controller_runs.cpp
+++ b/src/lycheespool/controller/controller_runs.cpp
@@ -47,21 +47,11 @@
     if (node.node.empty())
         node.node = report.node;
     if (report.lifetime.isKnown() && report.lifetime != node.lifetime) {
-        releaseLostRuns(report.node, report.lifetime, "the node reports a new lifetime of its executor", now, &report);
-        for (const auto& key : node.expiredRuns) {
-            auto* const job = findJob(key.task.job);
-            if (job && node.lifetime == report.previousLifetime)
-                recordLoss(*job, key, false, report.node, now);
+        if (!replacesExecutor(node, report)) {
+            ignoreReport(node, report);
+            return;
         }
-        const auto permitsExpireAt = node.permitsExpireAt;
-        node = ExecutorView {};
-        node.node = report.node;
-        node.permitsExpireAt = permitsExpireAt;
-        node.lifetime = report.lifetime;
-        logEvent("executor_found",
-            { { "node", report.node }, { "executor", report.lifetime.executor },
-                { "born", report.lifetime.startedUnixMs }, { "zone", report.zone },
-                { "state", executorStateName(report.state) } });
+        adoptLifetime(node, report, now);
     } else if (node.state != report.state) {
         logEvent("executor_state_changed",
             { { "node", report.node }, { "executor", report.lifetime.executor },
@@ -88,8 +78,9 @@
     node.listedAtMs = std::max(node.listedAtMs, report.listedAtMs);
     if (report.state == ExecutorState::departed || report.state == ExecutorState::absent) {
         // A departed executor ends at once, and all its runs end with it.
+        const auto isDeparted = [&](const Lifetime& it) { return it == report.lifetime; };
         if (report.state == ExecutorState::departed)
-            releaseLostRuns(report.node, {}, "the executor departed", now);
+            releaseLostRuns(report.node, isDeparted, "the executor departed", now);
         return;
     }
     if (report.listedAtMs == 0 || isOutdated)
@@ -102,6 +93,57 @@
     releaseUnlistedRuns(node, report);
 }
 
+/*! @brief Checks if a report is evidence that a lifetime has ended: the executor's address answers for a later one. */
+bool Controller::showsEndOf(const Lifetime& lifetime, const NodeReport& report)
+{
+    // An agent that knew both lifetimes knows their order; clocks may have been set back between their starts.
+    const bool isLater = lifetime == report.previousLifetime || lifetime.startedUnixMs < report.lifetime.startedUnixMs;
+    return report.hasExecutorAnswer() && lifetime != report.lifetime && isLater;
+}
+
+/*! @brief Checks if the executor that a report names has taken the place of the known one. */
+bool Controller::replacesExecutor(const ExecutorView& node, const NodeReport& report)
+{
+    if (!report.hasExecutorAnswer())
+        return false;
+    const bool hasExecutor = node.lifetime.isKnown() && !node.isLost && node.state != ExecutorState::departed;
+    return !hasExecutor || showsEndOf(node.lifetime, report);
+}
+
+/*! @brief Records a report that is no evidence of a new executor; the known one keeps its runs. */
+void Controller::ignoreReport(ExecutorView& node, const NodeReport& report)
+{
+    m_reportsIgnored.add();
+    // The agent repeats its report several times a second.
+    if (std::exchange(node.ignoredLifetime, report.lifetime) == report.lifetime)
+        return;
+    logEvent("report_ignored",
+        { { "node", report.node }, { "executor", report.lifetime.executor }, { "born", report.lifetime.startedUnixMs },
+            { "answered", report.hasExecutorAnswer() }, { "known_executor", node.lifetime.executor },
+            { "known_born", node.lifetime.startedUnixMs }, { "sent_ms", report.sentAtMs },
+            { "newest_report_ms", node.newestReportMs } });
+}
+
+/*! @brief Makes the reported lifetime the present one of its node, and releases runs that have ended before it. */
+void Controller::adoptLifetime(ExecutorView& node, const NodeReport& report, const ClockReading& now)
+{
+    const auto hasEnded = [&](const Lifetime& it) { return showsEndOf(it, report); };
+    releaseLostRuns(report.node, hasEnded, "the node reports a new lifetime of its executor", now, &report);
+    for (const auto& key : node.expiredRuns) {
+        auto* const job = findJob(key.task.job);
+        if (job && node.lifetime == report.previousLifetime)
+            recordLoss(*job, key, false, report.node, now);
+    }
+    const auto permitsExpireAt = node.permitsExpireAt;
+    node = ExecutorView {};
+    node.node = report.node;
+    node.permitsExpireAt = permitsExpireAt;
+    node.lifetime = report.lifetime;
+    logEvent("executor_found",
+        { { "node", report.node }, { "executor", report.lifetime.executor }, { "born", report.lifetime.startedUnixMs },
+            { "zone", report.zone }, { "state", executorStateName(report.state) } });
+}
+
 void Controller::processRunningTasks(ExecutorView& node, const NodeReport& report, const ClockReading& now)
 {
     std::map<RunKey, ExecutorView::UnknownRun> unknownRuns;
@@ -304,14 +346,15 @@
         stopRun({ { job.id, { position.occurrence, position.step, i } }, run }, reason);
 }
 
-/*! @brief Releases all runs of a node that belong to another executor lifetime than the present one. */
-void Controller::releaseLostRuns(const std::string& node, const Lifetime& present, const std::string& reason,
+/*! @brief Releases all runs of a node whose executor lifetimes have ended. */
+template <std::predicate<const Lifetime&> HasEnded>
+void Controller::releaseLostRuns(const std::string& node, const HasEnded& hasEnded, const std::string& reason,
     const ClockReading& now, const NodeReport* report)
 {
     std::vector<RunKey> lost;
     std::set<std::string> startingJobs;
     for (const auto& [key, run] : m_runs) {
-        if (run.node != node || run.lifetime == present)
+        if (run.node != node || !hasEnded(run.lifetime))
             continue;
         lost.push_back(key);
         if (hasJustStarted(run, report))
@@ -397,9 +440,11 @@
     return m_settings.permitDuration;
 }
 
-std::uint64_t Controller::endsStored(const std::string& node)
+std::uint64_t Controller::endsStored(const std::string& node, const Lifetime& lifetime)
 {
     auto& view = m_nodes[node];
+    if (view.lifetime != lifetime)
+        return 0;
     while (!view.pendingEnds.empty()) {
         const auto& end = view.pendingEnds.front();
         const auto* const job = end.job.empty() ? nullptr : findJob(end.job);
@@ -475,19 +520,23 @@
                         node.expiredRuns.insert(key);
                 }
             }
-            releaseLostRuns(name, {}, "the permits of the node expired", now);
+            const auto hasNoPermit = [](const Lifetime&) { return true; };
+            releaseLostRuns(name, hasNoPermit, "the permits of the node expired", now);
         }
     }
-    // Nodes that have not reported in this term may still hold permits of the previous leader.
+    // Lifetimes that no report of this term has named or shown to have ended may still hold permits of the previous
+    // leader.
     if (now.steady > m_startedAt + m_settings.previousPermitsExpiryBound()) {
-        std::set<std::string> unreportedNodes;
+        std::set<std::string> nodes;
         for (const auto& [key, run] : m_runs) {
             const auto it = m_nodes.find(run.node);
-            if (it == m_nodes.end() || !it->second.lifetime.isKnown())
-                unreportedNodes.insert(run.node);
+            if (it == m_nodes.end() || it->second.lifetime != run.lifetime)
+                nodes.insert(run.node);
+        }
+        for (const auto& name : nodes) {
+            const auto isUnreported = [present = m_nodes[name].lifetime](const Lifetime& it) { return it != present; };
+            releaseLostRuns(name, isUnreported, "the node has not reported the executor in this term", now);
         }
-        for (const auto& it : unreportedNodes)
-            releaseLostRuns(it, {}, "the node has not reported in this term", now);
     }
     for (auto& [key, run] : m_runs) {
         if (const auto node = m_nodes.find(run.node); node != m_nodes.end())
--- a/src/lycheespool/controller/executor_view.h
+++ b/src/lycheespool/controller/executor_view.h
@@ -41,6 +41,8 @@
     std::optional<TimePoint> earliestDeparture;
     /*! @brief Time after which all permits granted to the agent have expired. */
     TimePoint permitsExpireAt {};
+    /*! @brief Lifetime of the latest report that was ignored since its executor has not shown to be the present one. */
+    Lifetime ignoredLifetime;
     /*! @brief The permits expired without contact, so no run is left on the node. */
     bool isLost { false };
     /*! @brief Runs that may have begun and were released when the permits expired; their losses count if the agent
--- a/src/lycheespool/controller/leader_host.h
+++ b/src/lycheespool/controller/leader_host.h
@@ -133,7 +133,7 @@
         const auto permit = m_controller->grantPermit(report, now.steady);
         reply.permitMs
             = static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(permit).count());
-        reply.endsStored = m_controller->endsStored(report.node);
+        reply.endsStored = m_controller->endsStored(report.node, report.lifetime);
         m_wakeUp.wake();
         return reply;
     }
@@ -457,7 +457,7 @@
             const auto connection = m_connections.find(node);
             if (connection == m_connections.end() || !connection->second->isOpen())
                 continue;
-            orders.endsStored = m_controller->endsStored(node);
+            orders.endsStored = m_controller->endsStored(node, orders.lifetime);
             const auto self = this->shared_from_this();
             for (auto& it : splitOrders(std::move(orders))) {
                 asio::co_spawn(
--- a/src/lycheespool/wire/node_messages.h
+++ b/src/lycheespool/wire/node_messages.h
@@ -90,7 +90,7 @@
     std::vector<RunEnd> ended;
     /*! @brief False until the executor has answered the agent, and while it does not; no lease is extended then. */
     bool extendsLease { true };
-    /*! @brief Lifetime that this agent process knew before the present one and that ended without a departure. */
+    /*! @brief Lifetime that answered this agent process before the present one and that ended without a departure. */
     Lifetime previousLifetime;
     /*! @brief Agent's clock when that lifetime stopped answering, ms. */
     std::uint64_t previousLostAtMs { 0 };
@@ -99,6 +99,13 @@
     MSGPACK_DEFINE(node, zone, state, lifetime, service, labels, capacity, remainingMs, sentAtMs, listedAtMs, running,
         ended, extendsLease, previousLifetime, previousLostAtMs, listExtent)
 
+    /**
+     * @brief Checks if the executor of the named lifetime has answered the agent.
+     * @return False if only an announcement has named the lifetime; another sender or a former lifetime may have sent
+     * it.
+     */
+    [[nodiscard]] bool hasExecutorAnswer() const { return lifetime.isKnown() && listedAtMs > 0; }
+
     /**
      * @brief Checks if the report is evidence of the executor that it names, and not only of the agent.
      * @return True if this executor has answered the agent and its lease is to be extended.
@@ -107,7 +114,7 @@
     {
         // Earlier versions of the agent set extendsLease also before the first answer, while there are no lists.
         const bool isPresent = state == ExecutorState::ready || state == ExecutorState::draining;
-        return extendsLease && isPresent && lifetime.isKnown() && listedAtMs > 0;
+        return extendsLease && isPresent && hasExecutorAnswer();
     }
 };
 
--- a/test/lycheespool/controller/cluster_simulation.h
+++ b/test/lycheespool/controller/cluster_simulation.h
@@ -36,6 +36,13 @@
     /*! @brief Most ends in one list; each list is then also reported twice, the second time without the ends that were
      * stored in between. 0 for lists of any length that are reported once. */
     std::size_t endsPerList { 0 };
+    /*! @brief Mean time between two restarts of an agent, ms; 0 for none. The first report then names a lifetime that
+     * only an announcement gave: of another sender, or a delayed one of a former lifetime. */
+    int agentRestartMs { 0 };
+    /*! @brief Probability that a report arrives seconds late, on a connection that the agent has given up. */
+    double lateReport { 0 };
+    /*! @brief Probability that an executor restarts with an earlier start time, since its clock was set back. */
+    double clockSetBack { 0 };
 };
 
 /*! @brief Size of a simulated cluster. */
@@ -138,6 +145,7 @@
     static constexpr std::int64_t stepMs = 10;
     static constexpr std::int64_t reportEveryMs = 500;
     static constexpr std::int64_t gangTimeoutMs = 3000;
+    static constexpr std::int64_t replyTimeoutMs = 800;
 
     struct Run {
         std::int64_t startedMs { 0 };
@@ -222,13 +230,35 @@
             if (happensEvery(m_faults.partitionMs * static_cast<int>(m_executors.size())))
                 it.partitionedUntilMs = m_nowMs + between(500, 15000);
             if (happensEvery(m_faults.restartMs * static_cast<int>(m_executors.size()))) {
-                const Executor fresh { it.node, it.rack, { it.lifetime.executor, ++m_lifetimes }, {}, {}, {}, 0, 0,
+                const bool isSetBack = m_faults.clockSetBack > 0 && happens(m_faults.clockSetBack);
+                ++m_lifetimes;
+                const Executor fresh { it.node, it.rack,
+                    { it.lifetime.executor, isSetBack ? -m_lifetimes : m_lifetimes }, {}, {}, {}, 0, 0,
                     it.permitUntilMs, it.partitionedUntilMs, 0, 0 };
                 it = fresh;
             }
+            if (happensEvery(m_faults.agentRestartMs * static_cast<int>(m_executors.size())))
+                restartAgent(it);
         }
     }
 
+    /*! @brief Lets an agent report a lifetime that has not answered it before it reports its executor again. */
+    void restartAgent(Executor& executor)
+    {
+        executor.isLatestRepeated = true;
+        auto report = newReport(executor);
+        const bool isNewer = happens(0.5);
+        report.lifetime.startedUnixMs += isNewer ? 1 : -1;
+        if (happens(0.5))
+            report.lifetime.executor += "-other";
+        report.listedAtMs = 0;
+        report.extendsLease = false;
+        report.running.clear();
+        report.ended.clear();
+        executor.nextReportMs = m_nowMs + between(50, 1500);
+        send(executor, report, between(1, 30));
+    }
+
     void finish(Executor& executor, std::map<RunKey, Run>::iterator it, RunEndKind kind)
     {
         const auto key = it->first;
@@ -311,14 +341,20 @@
             && !std::exchange(executor.isLatestRepeated, true);
         const auto report = repeats ? executor.latest : newReport(executor);
         executor.epoch = std::max<std::uint64_t>(executor.epoch, m_epoch);
-        const auto term = m_term;
-        at(m_nowMs + between(1, 30), [this, &executor, report, term, sent = m_nowMs] {
+        const bool isLate = m_faults.lateReport > 0 && happens(m_faults.lateReport);
+        send(executor, report, isLate ? between(replyTimeoutMs, 10000) : between(1, 30));
+    }
+
+    void send(Executor& executor, const NodeReport& report, std::int64_t delayMs)
+    {
+        at(m_nowMs + delayMs, [this, &executor, report, term = m_term, sent = m_nowMs] {
             if (!m_controller || m_term != term)
                 return;
             m_controller->onReport(report, clockReading());
             const auto permit = m_controller->grantPermit(report, steady());
-            const auto stored = m_controller->endsStored(report.node);
-            if (executor.lifetime != report.lifetime || m_nowMs < executor.partitionedUntilMs)
+            const auto stored = m_controller->endsStored(report.node, report.lifetime);
+            const bool isGivenUp = m_nowMs - sent >= replyTimeoutMs;
+            if (executor.lifetime != report.lifetime || m_nowMs < executor.partitionedUntilMs || isGivenUp)
                 return;
             const auto permitMs = std::chrono::duration_cast<std::chrono::milliseconds>(permit).count();
             executor.permitUntilMs = std::max(executor.permitUntilMs, sent + permitMs);
--- a/test/lycheespool/controller/faults.cpp
+++ b/test/lycheespool/controller/faults.cpp
@@ -113,6 +113,39 @@
     simulateSeeds({ .restartMs = 2000 }, seedsPerCase());
 }
 
+// Guards against runs that are taken for lost on the evidence of an announcement (TWICE).
+TEST_CASE("agents that restart and first report an announced lifetime cause neither duplicate runs nor lost jobs")
+{
+    simulateSeeds({ .leaderChangeMs = 9000, .agentRestartMs = 1000 }, seedsPerCase());
+}
+
+// Guards against a leader that goes back to a former lifetime of an executor (TWICE).
+TEST_CASE("reports that arrive late cause neither duplicate runs nor lost jobs")
+{
+    simulateSeeds({ .restartMs = 2000, .lateReport = 0.3 }, seedsPerCase());
+}
+
+// Guards against an executor that is kept out because of its earlier start time, and against runs that are released
+// while the order of two lifetimes is unknown.
+TEST_CASE("executors that restart after their clocks were set back cause neither duplicate runs nor lost jobs")
+{
+    simulateSeeds({ .restartMs = 2000, .lateReport = 0.1, .clockSetBack = 0.5 }, seedsPerCase());
+}
+
+TEST_CASE("restarts of agents, late reports and clocks set back beside other faults violate no invariant")
+{
+    simulateSeeds({ .lostOutcome = 0.05,
+                      .unknownCommit = 0.1,
+                      .failure = 0.02,
+                      .leaderChangeMs = 9000,
+                      .partitionMs = 5000,
+                      .restartMs = 6000,
+                      .agentRestartMs = 3000,
+                      .lateReport = 0.1,
+                      .clockSetBack = 0.3 },
+        2 * seedsPerCase());
+}
+
 TEST_CASE("all faults combined violate no invariant")
 {
     simulateSeeds({ .lostOutcome = 0.1,
--- a/test/lycheespool/controller/row_size.cpp
+++ b/test/lycheespool/controller/row_size.cpp
@@ -109,7 +109,8 @@
 
     void report(Node& node, const std::string& name, const std::string& checkpoint)
     {
-        const auto stored = controller.endsStored(name);
+        const Lifetime lifetime { "i-7f3a91c" + name, 1'780'000'000'000 };
+        const auto stored = controller.endsStored(name, lifetime);
         std::erase_if(node.ended, [&](const auto& it) { return it.number <= stored; });
         // Half of the runs end, so that rows hold old and new runs at once.
         const auto count = (node.running.size() + 1) / 2;
@@ -121,7 +122,7 @@
         report.node = name;
         report.zone = "zone-a";
         report.state = ExecutorState::ready;
-        report.lifetime = { "i-7f3a91c" + name, 1'780'000'000'000 };
+        report.lifetime = lifetime;
         report.service = "service";
         report.labels = { "a", "rack-0" };
         report.capacity = { 640'000, 1'310'720, 0 };
