Report only a lifetime that answered as the one before

What callers saw: nothing yet; the report of a lifetime that never answered counts as a witnessed end, which releases runs and counts crashes.

Cause: an agent recorded each lifetime that it had adopted from an announcement as the one before the next.

Change: only a lifetime that has answered the agent is recorded.

Evidence: "a lifetime that has never answered is not reported as the one before" fails with the former agent and passes now.

--- a/src/lycheespool/nodeagent/node_agent.h
+++ b/src/lycheespool/nodeagent/node_agent.h
@@ -162,7 +162,8 @@
         auto& known = m_executorState;
         const bool isNew = announcement.lifetime != known.lifetime;
         const bool isChanged = isNew || announcement.state != known.state;
-        if (isNew && known.lifetime.isKnown() && known.state == ExecutorState::ready) {
+        // A lifetime that has never answered may not have existed, so its end is no fact to report.
+        if (isNew && m_leaseClock.hasSample() && known.state == ExecutorState::ready) {
             m_previousLifetime = known.lifetime;
             m_previousLostAtMs = m_unreachableAtMs > 0 ? m_unreachableAtMs : clockMs(BootClock {}.now());
         }
--- a/test/lycheespool/nodeagent/agent_reports.cpp
+++ b/test/lycheespool/nodeagent/agent_reports.cpp
@@ -160,6 +160,24 @@
     CHECK(f.runUntil([](const NodeReport& it) { return it.extendsLease && it.provesExecutor(); }));
 }
 
+// Guards against runs that are taken for lost, or counted as crashed, on the evidence of a mere announcement.
+TEST_CASE("a lifetime that has never answered is not reported as the one before")
+{
+    Fixture f;
+    f.executor.startedUnixMs = 2;
+    f.executor.answers.assign(3, accepted());
+    f.announce(1);
+    f.runFor(50ms);
+    f.announce(2);
+    REQUIRE(f.runUntil([](const NodeReport& it) { return it.lifetime.startedUnixMs == 2 && it.provesExecutor(); }));
+    CHECK_FALSE(f.reports().back().previousLifetime.isKnown());
+    f.executor.startedUnixMs = 3;
+    f.executor.answers.assign(3, accepted());
+    f.announce(3);
+    REQUIRE(f.runUntil([](const NodeReport& it) { return it.lifetime.startedUnixMs == 3 && it.provesExecutor(); }));
+    CHECK(f.reports().back().previousLifetime.startedUnixMs == 2);
+}
+
 // Guards against a lease of a new executor that lasts longer than the leader knows.
 TEST_CASE("a lease is extended only by a permit for its own lifetime")
 {
