Adopt an executor whose start time went back

What callers saw: an executor that restarted after the clock of its VM had been set back got no work until its agent restarted.

Cause: the agent took each announcement with an earlier start than that of the known executor for outdated, although the address answered for the new one.

Change: an announcement of any other lifetime replaces the known one when the address answers for another lifetime, whatever the order of the starts. A late announcement of a former lifetime is still refused, since the address answers for the present one.

Evidence: "an executor that restarted with an earlier start time is adopted" fails with the former agent for both ids and passes now; "a late announcement of a former lifetime does not take the place of a sound executor" passes before and after.

--- a/src/lycheespool/nodeagent/node_agent.h
+++ b/src/lycheespool/nodeagent/node_agent.h
@@ -102,8 +102,9 @@
     /**
      * @brief Processes an announcement of the executor; ignores outdated ones.
      *
-     * An announcement of another lifetime may come from another writer. It takes the place of an executor that has
-     * answered only when the address no longer answers for that one.
+     * An announcement of another lifetime may come from another writer, or late from a former lifetime. It takes the
+     * place of an executor that has answered only when the address answers for another one. The order of the starts is
+     * no criterion, since the clock of the VM may have been set back between them.
      * @param announcement The announcement.
      */
     void onAnnouncement(const ExecutorAnnouncement& announcement)
@@ -116,11 +117,7 @@
                 { { "executor", announcement.lifetime.executor }, { "born", announcement.lifetime.startedUnixMs } });
             return;
         }
-        // A lifetime that never answered may be a foreign one, which must not keep out the executor.
-        const bool isOutdated
-            = (m_leaseClock.hasSample() && announcement.lifetime.startedUnixMs < known.lifetime.startedUnixMs)
-            || (announcement.lifetime == known.lifetime && announcement.sequence <= known.sequence);
-        if (isOutdated) {
+        if (announcement.lifetime == known.lifetime && announcement.sequence <= known.sequence) {
             logEvent("announcement_outdated",
                 { { "executor", announcement.lifetime.executor }, { "sequence", announcement.sequence } });
             return;
--- a/test/lycheespool/nodeagent/node_agent.cpp
+++ b/test/lycheespool/nodeagent/node_agent.cpp
@@ -55,8 +55,13 @@
         announcement.sequence = ++m_sequence;
         announcement.service = service;
         m_agent->onAnnouncement(announcement);
+        runFor(time);
+    }
+
+    void runFor(Duration time)
+    {
         m_context.restart();
-        m_context.run_for(time);
+        m_context.run_for(std::chrono::duration_cast<std::chrono::milliseconds>(time));
     }
 
     const Lifetime sound { "i-sound", unixMillis() - 5000 };
@@ -113,3 +118,25 @@
     f.announce(f.control.present);
     CHECK((f.control.called == f.control.present));
 }
+
+// Guards against an executor that is ignored until its agent restarts, after the clock of its VM was set back.
+TEST_CASE("an executor that restarted with an earlier start time is adopted")
+{
+    for (const auto* const id : { "i-next", "i-sound" }) {
+        CAPTURE(id);
+        AgentFixture f;
+        f.control.present = { id, f.sound.startedUnixMs - 60000 };
+        f.announce(f.control.present);
+        CHECK((f.control.called == f.control.present));
+    }
+}
+
+TEST_CASE("a late announcement of a former lifetime does not take the place of a sound executor")
+{
+    AgentFixture f;
+    for (const auto* const id : { "i-former", "i-sound" }) {
+        CAPTURE(id);
+        f.announce({ id, f.sound.startedUnixMs - 60000 });
+        CHECK((f.control.called == f.sound));
+    }
+}
