Ignore a departure that the executor has not announced

What callers saw: seen in the source and in a test. A departure that arrives late, of a former lifetime with the same id, took the present executor for gone; its runs were released at once and started elsewhere (TWICE).

Cause: a departure names an id and no lifetime, and the agent checked nothing else.

Change: an executor departs only after it has announced that it drains, as the protocol demands. Without that its runs are kept until it is silent and its permits expire.

Evidence: "a departure that the executor has not announced is ignored" fails with the former agent and passes now; test_nodeagent passes, 17 of 17.

--- a/src/lycheespool/nodeagent/node_agent.h
+++ b/src/lycheespool/nodeagent/node_agent.h
@@ -133,13 +133,20 @@
     }
 
     /**
-     * @brief Records that the executor departs immediately.
+     * @brief Records that the executor departs immediately; ignores a departure that was not announced.
+     *
+     * A departure names no lifetime, so one that arrives late may belong to a former lifetime with the same id. A
+     * present executor departs only after it has announced that it drains.
      * @param executor Id of the executor.
      */
     void onDeparture(const std::string& executor)
     {
-        if (executor != m_executorState.lifetime.executor)
+        if (executor != m_executorState.lifetime.executor || m_executorState.state != ExecutorState::draining) {
+            logEvent("departure_ignored",
+                { { "executor", executor }, { "known_executor", m_executorState.lifetime.executor },
+                    { "state", static_cast<int>(m_executorState.state) } });
             return;
+        }
         m_executorState.state = ExecutorState::departed;
         logEvent("executor_departed", { { "executor", executor } });
         m_reportDue.wake();
--- a/test/lycheespool/nodeagent/node_agent.cpp
+++ b/test/lycheespool/nodeagent/node_agent.cpp
@@ -16,10 +16,12 @@
     bool isSilent { false };
     /*! @brief Lifetime that the latest call named. */
     Lifetime called;
+    std::size_t calls { 0 };
 
     [[nodiscard]] ExecutorAnswer answerTo(const Lifetime& lifetime)
     {
         called = lifetime;
+        ++calls;
         ExecutorAnswer answer;
         if (isSilent)
             return answer;
@@ -48,22 +50,35 @@
         announce(sound);
     }
 
-    void announce(const Lifetime& lifetime, const std::string& service = "service", Duration time = 400ms)
+    void announce(const Lifetime& lifetime, const std::string& service = "service", Duration time = 400ms,
+        ExecutorState state = ExecutorState::ready)
     {
         ExecutorAnnouncement announcement;
         announcement.lifetime = lifetime;
         announcement.sequence = ++m_sequence;
         announcement.service = service;
+        announcement.state = state;
         m_agent->onAnnouncement(announcement);
         runFor(time);
     }
 
+    void depart(const std::string& executor) { m_agent->onDeparture(executor); }
+
     void runFor(Duration time)
     {
         m_context.restart();
         m_context.run_for(std::chrono::duration_cast<std::chrono::milliseconds>(time));
     }
 
+    /*! @brief Checks if the agent still calls its executor, which it does every 200 ms or more often here. */
+    bool callsExecutor()
+    {
+        runFor(50ms);
+        const auto before = control.calls;
+        runFor(500ms);
+        return control.calls > before;
+    }
+
     const Lifetime sound { "i-sound", unixMillis() - 5000 };
     const Lifetime foreign { "i-foreign", unixMillis() };
     FakeControl control;
@@ -140,3 +155,15 @@
         CHECK((f.control.called == f.sound));
     }
 }
+
+// Guards against a present executor that is taken for gone, and its runs for lost, because a departure of a former
+// lifetime with the same id arrives late (TWICE).
+TEST_CASE("a departure that the executor has not announced is ignored")
+{
+    AgentFixture f;
+    f.depart(f.sound.executor);
+    CHECK(f.callsExecutor());
+    f.announce(f.sound, "service", 50ms, ExecutorState::draining);
+    f.depart(f.sound.executor);
+    CHECK_FALSE(f.callsExecutor());
+}
