Add late announcements and connections to agents to the soak

Cause: the soak had no foreign or delayed announcements, no late departures, no executors whose start time goes back, and no proxy between agents and gateways, so it could not find runs that are released without evidence.

Change: four kinds of announcements reach an agent that has just restarted; a departure may arrive late; an executor may restart with an earlier start. The store emulator names proxies to agents in place of the leader, so that links between agents and gateways get the same faults as others. A link may stall for the connections that it has, while new ones work.

--- a/test/soak/deployment.cpp
+++ b/test/soak/deployment.cpp
@@ -21,10 +21,12 @@
 constexpr std::uint16_t controlPort = 8526;
 constexpr std::uint16_t messagePort = 7000;
 constexpr std::uint16_t storePort = 8090;
+constexpr std::uint16_t agentStorePort = 8091;
 constexpr std::uint16_t executorPort = 8080;
 // Ports of the proxies; a proxy listens on the address of its gateway or node.
 constexpr std::uint16_t proxyPort = 9000;
 constexpr std::uint16_t storeProxyPort = 9001;
+constexpr std::uint16_t messageProxyPort = 9002;
 constexpr std::size_t storeHost = 9;
 constexpr std::size_t firstGatewayHost = 10;
 constexpr std::size_t firstNodeHost = 40;
@@ -104,16 +106,10 @@
 }
 
 Deployment::Deployment(IoPool& pool, const DeploymentSettings& settings, InvariantChecker& checker)
-    : store { pool,
-        // Concurrent soak runs use separate loopback networks.
-        { fmt::format("127.{}.{}.{}", 1 + static_cast<unsigned>(::getpid()) / 256 % 250,
-              static_cast<unsigned>(::getpid()) % 256, storeHost),
-            storePort },
-        settings.seed }
+    : store { pool, addressOf(storeHost, storePort), addressOf(storeHost, agentStorePort), settings.seed }
     , m_pool { pool }
     , m_settings { settings }
     , m_checker { checker }
-    , m_net { static_cast<unsigned>(::getpid()) }
 {
     for (std::size_t i = 0; i < settings.gateways; ++i)
         addGateway(i);
@@ -121,9 +117,11 @@
         addNode(i);
 }
 
-Address Deployment::addressOf(std::size_t host, std::uint16_t port) const
+Address Deployment::addressOf(std::size_t host, std::uint16_t port)
 {
-    return { fmt::format("127.{}.{}.{}", 1 + m_net / 256 % 250, m_net % 256, host), port };
+    // Concurrent soak runs use separate loopback networks.
+    const auto net = static_cast<unsigned>(::getpid());
+    return { fmt::format("127.{}.{}.{}", 1 + net / 256 % 250, net % 256, host), port };
 }
 
 nlohmann::json Deployment::commonSettings(
@@ -144,10 +142,14 @@
     const auto host = firstGatewayHost + index;
     const auto name = fmt::format("gateway-{}", index);
     const auto front = addressOf(host, frontPort);
-    Gateway gateway { { name, "gateway", m_settings.directory }, nullptr, nullptr, addressOf(host, proxyPort), {} };
+    Gateway gateway { { name, "gateway", m_settings.directory }, nullptr, nullptr, nullptr, addressOf(host, proxyPort),
+        {} };
     gateway.front = std::make_unique<FaultProxy>(m_pool.context(), gateway.clientAddress, front);
     gateway.store = std::make_unique<FaultProxy>(
         m_pool.context(), addressOf(host, storeProxyPort), addressOf(storeHost, storePort));
+    gateway.messages = std::make_unique<FaultProxy>(
+        m_pool.context(), addressOf(host, messageProxyPort), addressOf(host, messagePort));
+    store.setLeaderProxy(addressOf(host, messagePort), addressOf(host, messageProxyPort));
     gateway.settings = commonSettings(name, zoneOf(index), front.host, addressOf(host, storeProxyPort));
     gateway.settings["listen"] = { { "front", front.toString() }, { "ready", addressOf(host, readyPort).toString() },
         { "control", addressOf(host, controlPort).toString() } };
@@ -167,7 +169,7 @@
         m_checker, m_gangs, m_settings.seed * 1000 + index);
     node.link = std::make_unique<FaultProxy>(m_pool.context(), addressOf(host, proxyPort), executorAddress);
     node.store = std::make_unique<FaultProxy>(
-        m_pool.context(), addressOf(host, storeProxyPort), addressOf(storeHost, storePort));
+        m_pool.context(), addressOf(host, storeProxyPort), addressOf(storeHost, agentStorePort));
     node.settings = commonSettings(name, node.zone, control.host, addressOf(host, storeProxyPort));
     node.settings["listen"] = { { "control", control.toString() } };
     node.settings["app"] = addressOf(host, proxyPort).toString();
@@ -203,6 +205,7 @@
     store.faults = {};
     for (auto& it : gateways) {
         it.front->setState(LinkState::open);
+        it.messages->setState(LinkState::open);
         it.store->setState(LinkState::open);
         it.process.signal(SIGCONT);
     }
--- a/test/soak/deployment.h
+++ b/test/soak/deployment.h
@@ -57,6 +57,8 @@
     struct Gateway {
         SupervisedProcess process;
         std::unique_ptr<FaultProxy> front;
+        /*! @brief Proxy before the address to which agents send reports. */
+        std::unique_ptr<FaultProxy> messages;
         std::unique_ptr<FaultProxy> store;
         Address clientAddress;
         nlohmann::json settings;
@@ -86,7 +88,7 @@
 private:
     [[nodiscard]] nlohmann::json commonSettings(
         const std::string& name, const std::string& zone, const std::string& ip, const Address& storeAddress) const;
-    [[nodiscard]] Address addressOf(std::size_t host, std::uint16_t port) const;
+    [[nodiscard]] static Address addressOf(std::size_t host, std::uint16_t port);
     void addGateway(std::size_t index);
     void addNode(std::size_t index);
 
@@ -94,7 +96,6 @@
     DeploymentSettings m_settings;
     InvariantChecker& m_checker;
     GangRegistry m_gangs;
-    unsigned m_net;
 };
 
 /*! @brief Returns the name of the zone of the gateway or executor with this index. */
--- a/test/soak/executor_emulator.cpp
+++ b/test/soak/executor_emulator.cpp
@@ -27,6 +27,10 @@
 constexpr Duration drainAcknowledgementTimeout = 6s;
 constexpr std::size_t maxEndsListed = 500;
 constexpr int clockOffsetMs = 5000;
+constexpr std::int64_t clockStepMs = 60000;
+// Announcements follow each other fast, so that one arrives before the executor's own after a restart of the agent.
+constexpr Duration otherAnnouncementInterval = 2ms;
+constexpr Duration otherAnnouncementTime = 3s;
 
 }
 
@@ -46,12 +50,12 @@
     asio::co_spawn(m_pool.context(), heartbeatLoop(), asio::detached);
 }
 
-void ExecutorEmulator::start(bool keepsId)
+void ExecutorEmulator::start(bool keepsId, bool isClockSetBack)
 {
     ++m_lifetime;
     if (!keepsId || m_id.empty())
         m_id = fmt::format("i-{:012x}", m_random() >> 16U);
-    m_startedUnixMs = std::max(m_startedUnixMs + 1, unixMillis());
+    m_startedUnixMs = isClockSetBack ? m_startedUnixMs - clockStepMs : std::max(m_startedUnixMs + 1, unixMillis());
     m_startedAt = BootClock {}.now();
     m_lastTick = m_startedAt;
     m_sequence = 0;
@@ -339,17 +343,61 @@
         co_return;
     const auto id = m_id;
     crash();
+    // The executor has departed whether or not the agent receives the request.
+    (void)co_await post(id, "deregister", "{}", heartbeatTimeout);
+}
+
+Awaitable<bool> ExecutorEmulator::post(std::string id, std::string call, std::string body, Duration timeout)
+{
     HttpRequest request;
     request.method = "POST";
-    request.path = "/v1/instances/" + id + "/deregister";
-    request.body = "{}";
+    request.path = fmt::format("/v1/instances/{}/{}", id, call);
+    request.body = std::move(body);
     try {
-        (void)co_await m_agent.send(std::move(request), heartbeatTimeout);
+        const auto response = co_await m_agent.send(std::move(request), timeout);
+        co_return response.status == 200;
     } catch (const Error&) {
-        // The executor has departed whether or not the agent receives the request.
+        co_return false;
+    }
+}
+
+nlohmann::json ExecutorEmulator::announcement() const
+{
+    nlohmann::json body { { "service", "service-a" }, { "addr", m_location.address.toString() },
+        { "zone", m_location.zone }, { "version", "v1" }, { "slots", 8 },
+        { "state", m_isDraining ? "draining" : "ready" }, { "coldRemainingMs", 0 }, { "clockMs", clockMs() },
+        { "seq", m_sequence }, { "born", m_startedUnixMs }, { "labels", { "kind-a", m_location.rack } },
+        { "capacity",
+            { { "cpu", m_location.capacity.milliCores }, { "memMb", m_location.capacity.memoryMiB },
+                { "gpu", m_location.capacity.accelerators } } } };
+    if (m_isDraining)
+        body["remainingMs"] = toMs(drainBound);
+    return body;
+}
+
+Awaitable<> ExecutorEmulator::announceOther(OtherLifetime kind)
+{
+    auto body = announcement();
+    const bool isLater = kind == OtherLifetime::newer || kind == OtherLifetime::ofOtherService;
+    body["born"] = m_startedUnixMs + (isLater ? 1 : -clockStepMs);
+    body["state"] = "ready";
+    if (kind == OtherLifetime::ofOtherService)
+        body["service"] = "service-of-others";
+    const auto id = kind == OtherLifetime::formerOfSameId ? m_id : "i-other" + m_id;
+    const auto until = BootClock {}.now() + otherAnnouncementTime;
+    while (BootClock {}.now() < until) {
+        if (co_await post(id, "heartbeat", body.dump(), heartbeatTimeout))
+            co_return;
+        co_await sleepFor(otherAnnouncementInterval);
     }
 }
 
+Awaitable<> ExecutorEmulator::departLate()
+{
+    if (m_isUp && !m_isDraining)
+        (void)co_await post(m_id, "deregister", "{}", heartbeatTimeout);
+}
+
 Awaitable<> ExecutorEmulator::heartbeatLoop()
 {
     TimePoint drainingSince;
@@ -359,26 +407,8 @@
             continue;
         const bool isDraining = m_isDraining;
         const auto lifetime = m_lifetime;
-        nlohmann::json body { { "service", "service-a" }, { "addr", m_location.address.toString() },
-            { "zone", m_location.zone }, { "version", "v1" }, { "slots", 8 },
-            { "state", isDraining ? "draining" : "ready" }, { "coldRemainingMs", 0 }, { "clockMs", clockMs() },
-            { "seq", ++m_sequence }, { "born", m_startedUnixMs }, { "labels", { "kind-a", m_location.rack } },
-            { "capacity",
-                { { "cpu", m_location.capacity.milliCores }, { "memMb", m_location.capacity.memoryMiB },
-                    { "gpu", m_location.capacity.accelerators } } } };
-        if (isDraining)
-            body["remainingMs"] = toMs(drainBound);
-        HttpRequest request;
-        request.method = "POST";
-        request.path = "/v1/instances/" + m_id + "/heartbeat";
-        request.body = body.dump();
-        bool isAcknowledged = false;
-        try {
-            const auto response = co_await m_agent.send(std::move(request), heartbeatTimeout);
-            isAcknowledged = response.status == 200;
-        } catch (const Error&) {
-            // The next heartbeat follows after heartbeatInterval.
-        }
+        ++m_sequence;
+        const bool isAcknowledged = co_await post(m_id, "heartbeat", announcement().dump(), heartbeatTimeout);
         if (!isDraining || !m_isUp || m_lifetime != lifetime || m_isDeparting) {
             drainingSince = BootClock {}.now();
             continue;
--- a/test/soak/executor_emulator.h
+++ b/test/soak/executor_emulator.h
@@ -72,18 +72,35 @@
     ResourceVector capacity;
 };
 
+/*! @brief Lifetimes that an agent may hear of while its executor runs on. */
+enum class OtherLifetime : std::uint8_t {
+    /*! @brief Another id with a later start, of another sender. */
+    newer,
+    /*! @brief Another id with an earlier start, whose announcement was delayed. */
+    former,
+    /*! @brief The executor's id with an earlier start, whose announcement was delayed. */
+    formerOfSameId,
+    /*! @brief A later start and a service that no config names, of another sender. */
+    ofOtherService,
+};
+
 /*! @brief Emulates an executor with timed tasks and reports what it observes to the checker. Runs on one thread. */
 class ExecutorEmulator {
 public:
     ExecutorEmulator(
         IoPool& pool, ExecutorLocation location, InvariantChecker& checker, GangRegistry& gangs, std::uint64_t seed);
 
-    /*! @brief Starts a lifetime with the previous id or a new one. */
-    void start(bool keepsId);
+    /*! @brief Starts a lifetime with the previous id or a new one; its start time is earlier than that of the lifetime
+     * before if the clock was set back. */
+    void start(bool keepsId, bool isClockSetBack = false);
     /*! @brief Ends the lifetime at once and discards its runs. */
     void crash();
     /*! @brief Reports that it drains, serves until the drain is acknowledged and over, then departs. */
     void drain() { m_isDraining = true; }
+    /*! @brief Sends an announcement of another lifetime until the agent acknowledges one, for a few seconds at most. */
+    [[nodiscard]] Awaitable<> announceOther(OtherLifetime kind);
+    /*! @brief Sends a departure of a former lifetime with the present id, which arrives late. */
+    [[nodiscard]] Awaitable<> departLate();
     [[nodiscard]] bool isUp() const { return m_isUp; }
 
     ExecutorFaults faults;
@@ -127,6 +144,8 @@
 
     [[nodiscard]] Awaitable<> tickLoop();
     [[nodiscard]] Awaitable<> heartbeatLoop();
+    [[nodiscard]] nlohmann::json announcement() const;
+    [[nodiscard]] Awaitable<bool> post(std::string id, std::string call, std::string body, Duration timeout);
     [[nodiscard]] Awaitable<> depart();
     void tick();
     void advance(Run& run, Duration passed);
--- a/test/soak/fault_injector.cpp
+++ b/test/soak/fault_injector.cpp
@@ -88,8 +88,9 @@
 
 void FaultInjector::injectLinkFault(FaultProxy& proxy, const std::string& name, Duration time)
 {
-    constexpr std::array states { LinkState::delayed, LinkState::silent, LinkState::oneWay, LinkState::refusing };
-    constexpr std::array words { "delayed", "silent", "one way", "refusing" };
+    constexpr std::array states { LinkState::delayed, LinkState::silent, LinkState::oneWay, LinkState::stalled,
+        LinkState::refusing };
+    constexpr std::array words { "delayed", "silent", "one way", "stalled", "refusing" };
     const auto state = randomIndex(states.size());
     note(fmt::format("  link of {} {}", name, words.at(state)));
     proxy.setState(states.at(state));
@@ -110,6 +111,10 @@
                              auto& it = randomNode();
                              injectLinkFault(*it.link, it.process.name(), time);
                          } });
+    m_actions.push_back({ "link agents to gateway", [this](Duration time) {
+                             auto& it = randomGateway();
+                             injectLinkFault(*it.messages, it.process.name(), time);
+                         } });
     m_actions.push_back({ "link clients to gateway", [this](Duration time) {
                              auto& it = randomGateway();
                              injectLinkFault(*it.front, it.process.name(), time);
@@ -117,6 +122,7 @@
     m_actions.push_back({ "reset all connections of a gateway", [this](Duration) {
                              auto& it = randomGateway();
                              it.front->resetAll();
+                             it.messages->resetAll();
                              it.store->resetAll();
                          } });
 }
@@ -177,13 +183,27 @@
     m_actions.push_back({ "executor crashes", [this](Duration time) {
                              auto& it = randomNode();
                              const bool keepsId = randomIndex(2) == 0;
-                             note(fmt::format("  {}, {} id", it.process.name(), keepsId ? "same" : "new"));
+                             const bool isClockSetBack = randomIndex(4) == 0;
+                             note(fmt::format("  {}, {} id{}", it.process.name(), keepsId ? "same" : "new",
+                                 isClockSetBack ? ", clock set back" : ""));
                              it.executor->crash();
-                             schedule(time, [&it, keepsId] {
+                             schedule(time, [&it, keepsId, isClockSetBack] {
                                  if (!it.executor->isUp())
-                                     it.executor->start(keepsId);
+                                     it.executor->start(keepsId, isClockSetBack);
                              });
                          } });
+    m_actions.push_back({ "agent restarts and first gets another announcement", [this](Duration) {
+                             auto& it = randomNode();
+                             const auto kind = static_cast<OtherLifetime>(randomIndex(4));
+                             note(fmt::format("  {}, kind {}", it.process.name(), static_cast<int>(kind)));
+                             it.process.signal(SIGKILL);
+                             asio::co_spawn(m_pool.context(), it.executor->announceOther(kind), asio::detached);
+                         } });
+    m_actions.push_back({ "departure of a former lifetime arrives late", [this](Duration) {
+                             auto& it = randomNode();
+                             note("  " + it.process.name());
+                             asio::co_spawn(m_pool.context(), it.executor->departLate(), asio::detached);
+                         } });
     m_actions.push_back({ "executor drains", [this](Duration) {
                              auto& it = randomNode();
                              note("  " + it.process.name());
--- a/test/soak/fault_proxy.cpp
+++ b/test/soak/fault_proxy.cpp
@@ -36,6 +36,8 @@
 void FaultProxy::setState(LinkState state)
 {
     m_state = state;
+    for (const auto& it : m_links)
+        it->isStalled = state == LinkState::stalled;
     if (state == LinkState::refusing)
         resetAll();
 }
@@ -54,9 +56,9 @@
     m_links.erase(link);
 }
 
-bool FaultProxy::holdsBack(bool isToServer) const
+bool FaultProxy::holdsBack(const LinkPtr& link, bool isToServer) const
 {
-    return m_state == LinkState::silent || (m_state == LinkState::oneWay && !isToServer);
+    return link->isStalled || m_state == LinkState::silent || (m_state == LinkState::oneWay && !isToServer);
 }
 
 Awaitable<> FaultProxy::acceptLoop()
@@ -98,7 +100,7 @@
             break;
         if (m_state == LinkState::delayed)
             co_await sleepFor(delay);
-        while (holdsBack(isToServer) && source.is_open())
+        while (holdsBack(link, isToServer) && source.is_open())
             co_await sleepFor(withheldPollInterval);
         co_await asio::async_write(sink, asio::buffer(chunk, n), asio::redirect_error(asio::use_awaitable, ec));
         if (ec)
@@ -109,7 +111,7 @@
         co_return;
     }
     // The end of one direction is forwarded; the other direction stays open until it ends as well.
-    while (holdsBack(isToServer) && sink.is_open())
+    while (holdsBack(link, isToServer) && sink.is_open())
         co_await sleepFor(withheldPollInterval);
     boost::system::error_code ignored;
     sink.shutdown(Socket::shutdown_send, ignored);
--- a/test/soak/fault_proxy.h
+++ b/test/soak/fault_proxy.h
@@ -19,6 +19,8 @@
     silent,
     /*! @brief Requests are forwarded, responses are not. */
     oneWay,
+    /*! @brief Connections that exist forward no data, while new ones work. */
+    stalled,
     /*! @brief Connections are reset at once. */
     refusing,
 };
@@ -37,13 +39,14 @@
     struct Link {
         Socket client;
         Socket server;
+        bool isStalled { false };
     };
     using LinkPtr = std::shared_ptr<Link>;
 
     [[nodiscard]] Awaitable<> acceptLoop();
     [[nodiscard]] Awaitable<> serve(LinkPtr link);
     [[nodiscard]] Awaitable<> pump(LinkPtr link, bool isToServer);
-    [[nodiscard]] bool holdsBack(bool isToServer) const;
+    [[nodiscard]] bool holdsBack(const LinkPtr& link, bool isToServer) const;
     void close(const LinkPtr& link);
 
     asio::io_context& m_context;
--- a/test/soak/store_emulator.cpp
+++ b/test/soak/store_emulator.cpp
@@ -3,7 +3,10 @@
 #include "soak/emulator_faults.h"
 #include "soak/soak_bounds.h"
 
+#include "lycheespool/cluster/row_names.h"
+#include "lycheespool/controller/lease_row.h"
 #include "lycheespool/core/boot_clock.h"
+#include "lycheespool/workload/job_progress.h"
 
 #include <boost/beast/core/detail/base64.hpp>
 
@@ -93,12 +96,15 @@
 
 }
 
-StoreEmulator::StoreEmulator(IoPool& pool, const Address& address, std::uint64_t seed)
+StoreEmulator::StoreEmulator(IoPool& pool, const Address& address, const Address& agentAddress, std::uint64_t seed)
     : m_pool { pool }
     , m_random { seed }
-    , m_server { pool, address, m_metrics, [this](HttpRequest request) { return serve(std::move(request)); } }
+    , m_server { pool, address, m_metrics, [this](HttpRequest request) { return serve(std::move(request), false); } }
+    , m_agentServer { pool, agentAddress, m_metrics,
+        [this](HttpRequest request) { return serve(std::move(request), true); } }
 {
     m_server.start();
+    m_agentServer.start();
 }
 
 Awaitable<> StoreEmulator::writeForOperator(std::string key, std::optional<std::string> value)
@@ -108,7 +114,7 @@
     (void)co_await m_store.commit(std::move(transaction), Duration {});
 }
 
-Awaitable<HttpResponse> StoreEmulator::serve(HttpRequest request)
+Awaitable<HttpResponse> StoreEmulator::serve(HttpRequest request, bool isAgent)
 {
     if (faults.isSilent) {
         co_await sleepFor(silentTime);
@@ -121,7 +127,7 @@
     if (request.path == "/v1/rows-tx")
         co_return co_await commit(std::move(request));
     if (request.path == "/v1/rows-get")
-        co_return co_await list(std::move(request));
+        co_return co_await list(std::move(request), isAgent);
     if (request.path == "/v1/rows-feed")
         co_return co_await changes(std::move(request));
     co_return errorResponse(404);
@@ -148,7 +154,15 @@
     (void)co_await m_store.commit(std::move(transaction), Duration {});
 }
 
-Awaitable<HttpResponse> StoreEmulator::list(HttpRequest request)
+void StoreEmulator::redirectToProxy(StoredRow& lease) const
+{
+    auto value = unpackValue<LeaseRow>(lease.value);
+    if (const auto it = m_leaderProxies.find(value.address); it != m_leaderProxies.end())
+        value.address = it->second;
+    lease.value = packValue(value);
+}
+
+Awaitable<HttpResponse> StoreEmulator::list(HttpRequest request, bool isAgent)
 {
     RowRange range { std::string { request.parameter("table") }, std::string { request.parameter("part") },
         std::string { request.parameter("from") }, std::string { request.parameter("to") } };
@@ -156,6 +170,9 @@
     const bool hasMore = found.rows.size() > rowsPerPage;
     if (hasMore)
         found.rows.resize(rowsPerPage);
+    const auto lease = std::ranges::find(found.rows, RowNames {}.lease(), &StoredRow::name);
+    if (isAgent && lease != found.rows.end())
+        redirectToProxy(*lease);
     co_return rowsResponse(found.rows, found.version, hasMore);
 }
 
--- a/test/soak/store_emulator.h
+++ b/test/soak/store_emulator.h
@@ -8,6 +8,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <map>
 #include <random>
 #include <string>
 
@@ -28,7 +29,14 @@
 /*! @brief Emulates the platform's row store over HTTP, in memory. Runs on one thread. */
 class StoreEmulator {
 public:
-    StoreEmulator(IoPool& pool, const Address& address, std::uint64_t seed);
+    /*! @brief Serves gateways at `address` and agents at `agentAddress`. */
+    StoreEmulator(IoPool& pool, const Address& address, const Address& agentAddress, std::uint64_t seed);
+
+    /*! @brief Makes agents that look for the leader find the address of a proxy in place of the leader's own. */
+    void setLeaderProxy(const Address& leader, const Address& proxy)
+    {
+        m_leaderProxies[leader.toString()] = proxy.toString();
+    }
 
     /*! @brief Writes a row on behalf of the operator, regardless of the faults. */
     [[nodiscard]] Awaitable<> writeForOperator(std::string key, std::optional<std::string> value);
@@ -38,9 +46,10 @@
     StoreFaults faults;
 
 private:
-    [[nodiscard]] Awaitable<HttpResponse> serve(HttpRequest request);
+    [[nodiscard]] Awaitable<HttpResponse> serve(HttpRequest request, bool isAgent);
     [[nodiscard]] Awaitable<HttpResponse> commit(HttpRequest request);
-    [[nodiscard]] Awaitable<HttpResponse> list(HttpRequest request);
+    [[nodiscard]] Awaitable<HttpResponse> list(HttpRequest request, bool isAgent);
+    void redirectToProxy(StoredRow& lease) const;
     [[nodiscard]] Awaitable<HttpResponse> changes(HttpRequest request);
     [[nodiscard]] Awaitable<> commitLater(RowTransaction transaction);
 
@@ -49,7 +58,9 @@
     FakeRows m_rows;
     FakeRowStore m_store { m_rows };
     Metrics m_metrics;
+    std::map<std::string, std::string> m_leaderProxies;
     HttpServer m_server;
+    HttpServer m_agentServer;
 };
 
 }
