Limit the runs of an executor to what its report can list

What callers would see (LOST): an executor that runs more than about 11,000 small tasks of several jobs cannot report any more, is taken for lost, and all its tasks start again elsewhere.

Cause: the report of an agent must fit into a frame of 1 MiB and lists each running task; no bound followed from that. Same class as the oversized progress row: something that grows with a count in a container with a fixed limit.

Change: an executor gets at most 4,096 tasks (maxRunsPerReport), which take half of a frame with the longest names and checkpoints of 32 bytes; further tasks start elsewhere or wait.

Evidence: "a report with the largest number of runs and ends fits into a frame".

--- a/src/lycheespool/controller/controller_planning.cpp
+++ b/src/lycheespool/controller/controller_planning.cpp
@@ -347,8 +347,10 @@
     std::map<Lifetime, ResourceVector> releasing;
     std::map<Lifetime, ResourceVector> heldByServiceTasks;
     std::map<Lifetime, std::size_t> trials;
+    std::map<Lifetime, std::size_t> counts;
     for (const auto& [key, run] : m_runs) {
         busy[run.lifetime] += run.charged;
+        ++counts[run.lifetime];
         if (!showsWork(run, now))
             ++trials[run.lifetime];
         if (run.isStopping())
@@ -374,6 +376,8 @@
         if (candidate.reliability != NodeReliability::proven)
             candidate.trialStarts
                 = m_settings.policy.trialStarts - std::min(m_settings.policy.trialStarts, trials[node.lifetime]);
+        const auto listed = counts[node.lifetime] + node.unknownRuns.size();
+        candidate.freeRuns = static_cast<std::int64_t>(maxRunsPerReport - std::min(maxRunsPerReport, listed));
         candidate.slowness = m_speeds.slownessOf(name);
         candidate.isBusy = busy[node.lifetime] != ResourceVector {};
         for (const auto& [key, unknownRun] : node.unknownRuns)
--- a/src/lycheespool/dispatch/node_capacity.h
+++ b/src/lycheespool/dispatch/node_capacity.h
@@ -63,6 +63,8 @@
     bool acceptsProbe { true };
     /*! @brief Number of tasks that may start before earlier starts have shown that the executor works. */
     std::size_t trialStarts { std::numeric_limits<std::size_t>::max() };
+    /*! @brief Number of tasks that may start before the runs of the executor no longer fit into its report. */
+    std::int64_t freeRuns { std::numeric_limits<std::int64_t>::max() };
     std::vector<EvictableRun> evictable;
 };
 
--- a/src/lycheespool/dispatch/start_planner.cpp
+++ b/src/lycheespool/dispatch/start_planner.cpp
@@ -80,6 +80,8 @@
     if (scope.withReleasing)
         available += it.releasing;
     auto copies = std::min<std::int64_t>(request.perTask.copiesIn(available), request.tasks);
+    if (!scope.whenEmpty)
+        copies = std::min(copies, it.freeRuns);
     // A single task shows whether a suspected executor has recovered.
     if (it.reliability == NodeReliability::suspected && !request.isGang && !scope.whenEmpty) {
         const bool mayProbe = request.acceptsSuspected || (!it.isBusy && (it.acceptsProbe || request.hasStartBound));
@@ -239,6 +241,7 @@
 {
     for (const auto node : places) {
         m_nodes[node].free -= request.perTask;
+        --m_nodes[node].freeRuns;
         m_nodes[node].isBusy = true;
     }
 }
--- a/src/lycheespool/wire/node_messages.h
+++ b/src/lycheespool/wire/node_messages.h
@@ -118,6 +118,11 @@
     }
 };
 
+/*! @brief Maximum number of runs on one executor, so that its report fits into a frame. */
+inline constexpr std::size_t maxRunsPerReport = 4096;
+/*! @brief Maximum encoded size of a run in a report with maxRunsPerReport runs, bytes: half of a frame by all runs. */
+inline constexpr std::size_t maxReportedRunBytes = maxFrameBytes / 2 / maxRunsPerReport;
+
 /*! @brief Answer to NodeReport. */
 struct NodeReportReply {
     static constexpr auto type = MessageType::nodeReportReply;
--- a/test/lycheespool/controller/row_size.cpp
+++ b/test/lycheespool/controller/row_size.cpp
@@ -70,8 +70,10 @@
             }
         }
         std::size_t running = 0;
-        for (const auto& it : m_nodes)
+        for (const auto& it : m_nodes) {
             running += it.running.size();
+            mostOnOneNode = std::max(mostOnOneNode, it.running.size());
+        }
         mostRunning = std::max(mostRunning, running);
     }
 
@@ -99,6 +101,7 @@
     std::size_t largestValue { 0 };
     std::size_t largestBody { 0 };
     std::size_t mostRunning { 0 };
+    std::size_t mostOnOneNode { 0 };
 
 private:
     struct Node {
@@ -182,6 +185,18 @@
     CHECK(f.metrics.counter("progress_writes_refused_total").value() == 0);
 }
 
+// Guards against an executor with so many small tasks that its report exceeds a frame and never arrives.
+TEST_CASE("an executor runs no more tasks than its report can list")
+{
+    Cluster f { Cluster::settings(65'536), 49'152 };
+    for (int i = 0; i < 40; ++i)
+        f.add("job-" + std::to_string(i), 450);
+    for (int i = 0; i < 4; ++i)
+        f.round({});
+    CHECK(f.mostOnOneNode <= maxRunsPerReport);
+    CHECK(f.mostOnOneNode >= maxRunsPerReport / 2);
+}
+
 TEST_CASE("a row that the store refuses for good holds up only its own job")
 {
     // The store takes far smaller rows than its settings say.
--- a/test/lycheespool/dispatch/start_planner.cpp
+++ b/test/lycheespool/dispatch/start_planner.cpp
@@ -464,3 +464,19 @@
     request.speedWeight = -0.5;
     CHECK(planOne(cluster, request).starts.at(0).nodes == std::vector<std::size_t> { 0 });
 }
+
+// Guards against an executor with so many small tasks that its report exceeds a frame and never arrives.
+TEST_CASE("an executor gets no more tasks than its report can list, and the others start elsewhere")
+{
+    auto cluster = nodes(2);
+    cluster[0].freeRuns = 3;
+    const std::vector<StartRequest> requests { tasks(2, 0), tasks(4, 0) };
+    const auto plan = StartPlanner { cluster }.plan(requests);
+    std::map<std::size_t, int> starts;
+    for (const auto& start : plan.starts) {
+        for (const auto it : start.nodes)
+            ++starts[it];
+    }
+    CHECK(starts[0] <= 3);
+    CHECK(starts[0] + starts[1] == 6);
+}
--- a/test/lycheespool/wire/frame.cpp
+++ b/test/lycheespool/wire/frame.cpp
@@ -120,3 +120,19 @@
         std::numeric_limits<std::uint64_t>::max(), std::numeric_limits<std::uint64_t>::max(), { order } };
     CHECK_NOTHROW((void)encodeFrame(orders, std::numeric_limits<std::uint64_t>::max()));
 }
+
+// Guards against a report that exceeds a frame, so that its executor is taken for lost while it runs.
+TEST_CASE("a report with the largest number of runs and ends fits into a frame")
+{
+    constexpr std::size_t endsPerList = 500;
+    const std::string task = "0123456789abcdef.4294967295.4294967295.4294967295";
+    const std::string checkpoint(32, 'c');
+    const auto run = std::numeric_limits<std::uint64_t>::max();
+    NodeReport report;
+    report.running.assign(maxRunsPerReport, { task, run, checkpoint, 100 });
+    report.ended.assign(endsPerList, { run, task, run, RunEndKind::stopped, checkpoint });
+    CHECK(encodeFrame(report, 1).bytes.size() <= maxFrameBytes);
+    report.ended.clear();
+    const auto empty = encodeFrame(NodeReport {}, 1).bytes.size();
+    CHECK(encodeFrame(report, 1).bytes.size() - empty <= maxRunsPerReport * maxReportedRunBytes);
+}
