Refuse a job that no row holds before the store is called

What callers saw: seen in the source and in a test. A job whose encoded row exceeds `rowBytes` is refused by the store for good; the gateway took the answer for one that may still take effect, repeated the call until the client's deadline, answered 504 and treated the store as slow for 3 s. The client then repeated the job elsewhere in vain.

Change: the gateway compares the encoded size with `rowBytes` and answers 400 at once, as for other jobs that are not valid; `job_too_large` names both sizes.

--- a/src/lycheespool/cli/role_gateway.cpp
+++ b/src/lycheespool/cli/role_gateway.cpp
@@ -39,7 +39,7 @@
         : m_settings { settings }
         , m_store { settings.store, metrics }
         , m_watcher { m_store, platform::operatorSource(), [this] { m_leader->onOperatorChange(); } }
-        , m_gateway { m_store, RowNames {}, metrics }
+        , m_gateway { m_store, RowNames {}, metrics, ControllerSettings::maxValueBytes(settings.rowBytes) }
         , m_relay { pool.context().get_executor(), settings.internal, settings.seeds, metrics }
         , m_api { m_gateway, m_watcher, m_relay }
         , m_probe { metrics }
--- a/src/lycheespool/gateway/job_gateway.h
+++ b/src/lycheespool/gateway/job_gateway.h
@@ -12,9 +12,11 @@
 #include "lycheespool/store/row_store.h"
 #include "lycheespool/workload/job_request.h"
 
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 #include <chrono>
+#include <limits>
 #include <optional>
 #include <string>
 #include <utility>
@@ -64,10 +66,13 @@
      * @param store The store; must outlive the gateway.
      * @param names Names of the rows.
      * @param metrics Registry for counters.
+     * @param maxJobBytes Maximum size of an encoded job, bytes; the store takes no larger row.
      */
-    JobGateway(Store& store, RowNames names, Metrics& metrics)
+    JobGateway(Store& store, RowNames names, Metrics& metrics,
+        std::size_t maxJobBytes = std::numeric_limits<std::size_t>::max())
         : m_store { store }
         , m_names { std::move(names) }
+        , m_maxJobBytes { maxJobBytes }
         , m_accepted { metrics.counter("jobs_accepted_total") }
         , m_repeated { metrics.counter("jobs_repeated_total") }
         , m_rejected { metrics.counter("jobs_rejected_total") }
@@ -82,13 +87,23 @@
      * @param row The job.
      * @param deadline Time by which the client needs an answer.
      * @return accepted, rejected or unknown.
+     * @throws Error of kind invalidArgument if the job exceeds the size of a row.
      */
     [[nodiscard]] Awaitable<GatewayResult> submit(std::string id, JobRow row, TimePoint deadline)
     {
         const auto startedAt = BootClock {}.now();
+        auto value = packValue(row);
+        if (value.size() > m_maxJobBytes) {
+            m_rejected.add();
+            logEvent("job_too_large",
+                { { "job", id }, { "queue", row.queue }, { "bytes", value.size() }, { "max_bytes", m_maxJobBytes } });
+            throw Error { ErrorKind::invalidArgument,
+                fmt::format("the job takes {} bytes, a row holds {}", value.size(), m_maxJobBytes),
+                "use fewer steps or shorter texts" };
+        }
         RowTransaction transaction;
         transaction.conditions.push_back({ m_names.job(id), 0 });
-        transaction.writes.push_back({ m_names.job(id), packValue(row) });
+        transaction.writes.push_back({ m_names.job(id), std::move(value) });
         bool isRepeated = false;
         const auto result = co_await write(transaction, deadline, [&](const RowCommit& commit) {
             isRepeated = !commit.isCommitted;
@@ -330,6 +345,7 @@
 
     Store& m_store;
     RowNames m_names;
+    std::size_t m_maxJobBytes;
     JobDirectory m_directory;
     std::uint64_t m_version { 0 };
     bool m_isListed { false };
--- a/test/lycheespool/gateway/job_gateway.cpp
+++ b/test/lycheespool/gateway/job_gateway.cpp
@@ -49,6 +49,19 @@
     CHECK(f.first.pendingIn("queue") == 1);
 }
 
+// Guards against a job that the store refuses for good and whose client waits and retries in vain.
+TEST_CASE("a job larger than a row is refused before the store is called")
+{
+    Fixture f;
+    auto job = Fixture::job();
+    const auto maxBytes = packValue(job).size();
+    JobGateway<FakeRowStore> gateway { f.firstStore, RowNames {}, f.metrics, maxBytes };
+    CHECK(await(gateway.submit("id", job, Fixture::soon())) == GatewayResult::accepted);
+    job.request.payload += "x";
+    CHECK_THROWS_AS((void)await(gateway.submit("other", job, Fixture::soon())), Error);
+    CHECK(f.storedJobs() == 1);
+}
+
 TEST_CASE("a submission whose answer was lost is accepted by a second attempt")
 {
     Fixture f;
