Release a start at once that its agent sent to no executor

Three starts in a row went to executors that had just crashed.

Cause: an agent whose executor does not answer sends no start and says so, but the leader kept the run until the executor was back 3 s later, since the stop of the same run had no answer either.

Change: a start that was certainly sent to no executor is withdrawn at once, and its executor suspected for the time of one repetition, as after a refusal. The evidence is kept by run: each order that may have arrived counts until an outcome excludes it, so a run with an order of unknown outcome, or of an earlier term, stays as before.

Evidence: with the change undone on a copy, "a task whose start was never sent starts elsewhere at once, and one that may have begun does not" and "a gang whose member was never sent starts again as a whole" fail; they pass now.

--- a/src/lycheespool/controller/controller.h
+++ b/src/lycheespool/controller/controller.h
@@ -255,6 +255,7 @@
     void markBegun(ManagedWorkload& job, const ClockReading& now);
     void markDone(ManagedWorkload& job, const TaskPosition& position, const ClockReading& now);
     void releaseRun(Runs::iterator it);
+    void withdrawUnsentStart(Runs::iterator it, const std::string& reason, const ClockReading& now);
     void stopRun(const RunKey& key, const std::string& reason);
     void stopGangOf(ManagedWorkload& job, const TaskPosition& position, std::uint64_t run, const std::string& reason);
     void recordCheckpoint(ManagedWorkload& job, const RunKey& key, const std::string& checkpoint);
--- a/src/lycheespool/controller/controller_runs.cpp
+++ b/src/lycheespool/controller/controller_runs.cpp
@@ -497,12 +497,27 @@
     }
     case RunOrderResult::unresolved:
     case RunOrderResult::wrongLifetime:
-        // An unresolved order is sent again. After a wrong lifetime, the next report names the present one, which
-        // releases the run.
+        // A start that no executor can have received needs no stop, and its task no wait for this executor. Other
+        // unresolved orders are sent again; after a wrong lifetime, the next report releases the run.
+        if (!outcome.mayHaveBegun && !run.mayHaveBegun())
+            withdrawUnsentStart(it, outcome.reason, now);
         break;
     }
 }
 
+/*! @brief Releases a run whose start was sent to no executor; its task may start elsewhere at once. */
+void Controller::withdrawUnsentStart(Runs::iterator it, const std::string& reason, const ClockReading& now)
+{
+    const auto key = it->first;
+    m_nodes[it->second.node].suspectedUntil = now.steady + m_settings.orderRetry;
+    logEvent("start_withdrawn",
+        { { "task", key.task.toString() }, { "run", key.run }, { "node", it->second.node }, { "reason", reason } });
+    releaseRun(it);
+    auto* const job = findJob(key.task.job);
+    if (job && job->row.request.steps[key.task.position.step].isGang)
+        stopGangOf(*job, key.task.position, key.run, "a member of the gang did not start");
+}
+
 void Controller::superviseRuns(const ClockReading& now)
 {
     for (auto& [name, node] : m_nodes) {
--- a/test/lycheespool/controller/controller.cpp
+++ b/test/lycheespool/controller/controller.cpp
@@ -239,6 +239,51 @@
     CHECK(f.controller.liveRuns().empty());
 }
 
+// Guards against a task that waits for a crashed executor which has not received its start (LOST).
+TEST_CASE("a task whose start was never sent starts elsewhere at once, and one that may have begun does not")
+{
+    for (const auto result : { RunOrderResult::unresolved, RunOrderResult::wrongLifetime }) {
+        for (const bool mayHaveBegun : { false, true }) {
+            CAPTURE(mayHaveBegun);
+            Fixture f;
+            f.controller.addJob("job", Fixture::job(), {}, 0, Fixture::at(10).steady);
+            f.receive(f.report(10), 10);
+            const auto first = f.ordersFor("node-0", 10).at("node-0");
+            f.receive(f.report(15, "node-1"), 15);
+            f.controller.onOutcome("node-0", first.lifetime,
+                { first.orders[0].task, first.orders[0].run, result, "unreachable", 20, mayHaveBegun },
+                Fixture::at(20));
+            (void)f.controller.plan(Fixture::at(30));
+            f.storeAll();
+            CHECK(f.controller.takeOrders(Fixture::at(30)).contains("node-1") == !mayHaveBegun);
+            CHECK(f.controller.liveRuns().size() == 1);
+        }
+    }
+}
+
+// Guards against the wait of a whole gang for a member whose executor has not received its start.
+TEST_CASE("a gang whose member was never sent starts again as a whole")
+{
+    Fixture f;
+    f.controller.addJob("job", Fixture::job(2, true), {}, 0, Fixture::at(10).steady);
+    auto small = f.report(10);
+    small.capacity = { 1000, 1000, 1 };
+    f.receive(small, 10);
+    auto other = f.report(10, "node-1");
+    other.capacity = small.capacity;
+    f.receive(other, 10);
+    const auto orders = f.ordersFor("node-0", 10);
+    REQUIRE(orders.size() == 2);
+    const auto& unsent = orders.at("node-0");
+    f.confirm("node-1", orders.at("node-1"), 15);
+    f.controller.onOutcome("node-0", unsent.lifetime,
+        { unsent.orders[0].task, unsent.orders[0].run, RunOrderResult::unresolved, "unreachable", 20, false },
+        Fixture::at(20));
+    const auto stops = f.controller.takeOrders(Fixture::at(30));
+    REQUIRE(stops.contains("node-1"));
+    CHECK_FALSE(stops.at("node-1").orders.at(0).isStart);
+}
+
 // Guards against a second run while the lease of the first may last, and against runs that an executor without an
 // answer holds indefinitely.
 TEST_CASE("an agent that was restarted extends the lease of its executor once the executor has answered it")
