Keep an exception on one thread in a test of the HTTP client

All reports are about one exception: the pool's thread and the test share it through a std::future, and the last of them deletes it. The order comes from the reference count of std::exception_ptr, which lies in libstdc++ and is not instrumented (_M_release in all stacks).

Change: the coroutine catches the error of the call and returns a value, so that the exception never leaves the pool's thread. The test still demands that the call fails.

--- a/test/lycheespool/net/http_client.cpp
+++ b/test/lycheespool/net/http_client.cpp
@@ -59,12 +59,27 @@
     int m_accepted { 0 };
 };
 
-std::future<HttpResponse> send(IoPool& pool, HttpClient& client, Duration timeout)
+constexpr unsigned failedCall = 0;
+
+Awaitable<unsigned> callServer(HttpClient& client, Duration timeout)
 {
     HttpRequest request;
     request.method = "POST";
     request.path = "/";
-    return asio::co_spawn(pool.context(), client.send(std::move(request), timeout), asio::use_future);
+    try {
+        const auto response = co_await client.send(std::move(request), timeout);
+        co_return response.status;
+    } catch (const Error&) {
+        // Rethrown by a future, the exception would be shared by two threads; its reference count is part of a library
+        // that the thread sanitizer does not see.
+        co_return failedCall;
+    }
+}
+
+/*! @brief Calls the server on the pool's thread; returns the status of the response, or failedCall. */
+std::future<unsigned> send(IoPool& pool, HttpClient& client, Duration timeout)
+{
+    return asio::co_spawn(pool.context(), callServer(client, timeout), asio::use_future);
 }
 
 }
@@ -78,11 +93,11 @@
     HttpClient client { server.address() };
     auto first = send(pool, client, 5s);
     auto second = send(pool, client, 5s);
-    CHECK(first.get().status == 200);
-    CHECK(second.get().status == 200);
+    CHECK(first.get() == 200);
+    CHECK(second.get() == 200);
     auto silent = send(pool, client, 300ms);
-    CHECK_THROWS_AS((void)silent.get(), Error);
+    CHECK(silent.get() == failedCall);
     auto next = send(pool, client, 5s);
-    CHECK(next.get().status == 200);
+    CHECK(next.get() == 200);
     pool.stop();
 }
