--- a/test/lycheespool/controller/cluster_simulation.h
+++ b/test/lycheespool/controller/cluster_simulation.h
@@ -43,6 +43,9 @@
     double lateReport { 0 };
     /*! @brief Probability that an executor restarts with an earlier start time, since its clock was set back. */
     double clockSetBack { 0 };
+    /*! @brief Probability that an executor that ends never returns; half of them leave their agent behind. At most two
+     * of them, so that the jobs can end elsewhere. */
+    double neverReturns { 0 };
 };
 
 /*! @brief Size of a simulated cluster. */
@@ -172,6 +175,9 @@
         /*! @brief Latest report, whose lists the agent keeps. */
         NodeReport latest {};
         bool isLatestRepeated { true };
+        bool isGone { false };
+        /*! @brief The agent reports although its executor is gone. */
+        bool hasAgent { true };
     };
 
     [[nodiscard]] TimePoint steady() const { return TimePoint { std::chrono::milliseconds { m_nowMs } }; }
@@ -229,15 +235,20 @@
         for (auto& it : m_executors) {
             if (happensEvery(m_faults.partitionMs * static_cast<int>(m_executors.size())))
                 it.partitionedUntilMs = m_nowMs + between(500, 15000);
-            if (happensEvery(m_faults.restartMs * static_cast<int>(m_executors.size()))) {
+            if (!it.isGone && happensEvery(m_faults.restartMs * static_cast<int>(m_executors.size()))) {
                 const bool isSetBack = m_faults.clockSetBack > 0 && happens(m_faults.clockSetBack);
                 ++m_lifetimes;
                 const Executor fresh { it.node, it.rack,
                     { it.lifetime.executor, isSetBack ? -m_lifetimes : m_lifetimes }, {}, {}, {}, 0, 0,
                     it.permitUntilMs, it.partitionedUntilMs, 0, 0 };
                 it = fresh;
+                const auto gone = std::ranges::count(m_executors, true, &Executor::isGone);
+                if (m_faults.neverReturns > 0 && gone < 2 && happens(m_faults.neverReturns)) {
+                    it.isGone = true;
+                    it.hasAgent = happens(0.5);
+                }
             }
-            if (happensEvery(m_faults.agentRestartMs * static_cast<int>(m_executors.size())))
+            if (!it.isGone && happensEvery(m_faults.agentRestartMs * static_cast<int>(m_executors.size())))
                 restartAgent(it);
         }
     }
@@ -337,6 +348,14 @@
         if (m_nowMs < executor.nextReportMs || m_nowMs < executor.partitionedUntilMs || !m_controller)
             return;
         executor.nextReportMs = m_nowMs + reportEveryMs;
+        if (executor.isGone) {
+            NodeReport report;
+            report.node = executor.node;
+            report.sentAtMs = static_cast<std::uint64_t>(m_nowMs);
+            if (executor.hasAgent)
+                send(executor, report, between(1, 30));
+            return;
+        }
         const bool repeats = m_faults.endsPerList > 0 && executor.latest.lifetime == executor.lifetime
             && !std::exchange(executor.isLatestRepeated, true);
         const auto report = repeats ? executor.latest : newReport(executor);
@@ -456,7 +475,7 @@
         const auto executor = std::ranges::find(m_executors, node, &Executor::node);
         for (const auto& order : orders.orders) {
             at(m_nowMs + between(1, 60), [this, executor, orders, order, term = m_term] {
-                if (m_nowMs < executor->partitionedUntilMs)
+                if (m_nowMs < executor->partitionedUntilMs || !executor->hasAgent)
                     return;
                 const auto outcome = executeOrder(*executor, orders, order);
                 if (happens(m_faults.lostOutcome))
--- a/test/lycheespool/controller/faults.cpp
+++ b/test/lycheespool/controller/faults.cpp
@@ -132,6 +132,12 @@
     simulateSeeds({ .restartMs = 2000, .lateReport = 0.1, .clockSetBack = 0.5 }, seedsPerCase());
 }
 
+// Guards against runs that are kept for an executor that is gone, because its agent or nobody reports (LOST).
+TEST_CASE("executors that never return, with or without their agents, hold no task")
+{
+    simulateSeeds({ .restartMs = 2000, .neverReturns = 0.3 }, seedsPerCase());
+}
+
 TEST_CASE("restarts of agents, late reports and clocks set back beside other faults violate no invariant")
 {
     simulateSeeds({ .lostOutcome = 0.05,
