Expect a process that starts with broken settings to refuse them in the soak

A process that starts with settings that cannot be parsed ends with 2, as documented; the new kills of agents make the pair more frequent.

Change: exit code 2, and no other, is expected of a process whose settings were broken while it started. All other ends are violations as before, also of a running process whose settings are broken.

--- a/test/soak/deployment.cpp
+++ b/test/soak/deployment.cpp
@@ -32,6 +32,10 @@
 constexpr std::size_t firstNodeHost = 40;
 constexpr std::size_t racks = 2;
 const ResourceVector executorCapacity { 16000, 32768, 8 };
+// A process that starts has read its settings after this time.
+constexpr Duration longestStart = 1s;
+// Exit code of a process whose settings are not valid.
+constexpr int invalidSettingsCode = 2;
 
 std::string initialConfig()
 {
@@ -65,6 +69,21 @@
     m_isEndExpected = false;
     m_wasPaused = false;
     m_killAt = TimePoint::max();
+    m_startedAt = BootClock {}.now();
+    m_mayRefuseSettings = m_hasBrokenSettings;
+}
+
+void SupervisedProcess::writeSettings(const std::string& text)
+{
+    m_hasBrokenSettings = false;
+    std::ofstream { settingsPath() } << text;
+}
+
+void SupervisedProcess::breakSettings()
+{
+    writeSettings("{");
+    m_hasBrokenSettings = true;
+    m_mayRefuseSettings = m_mayRefuseSettings || BootClock {}.now() < m_startedAt + longestStart;
 }
 
 void SupervisedProcess::signal(int number)
@@ -93,7 +112,8 @@
     const auto code = m_process->poll();
     if (!code)
         return;
-    if (!m_isEndExpected)
+    const bool refusedSettings = m_mayRefuseSettings && *code == invalidSettingsCode;
+    if (!m_isEndExpected && !refusedSettings)
         checker.fail(fmt::format("{} exited unexpectedly with {}", m_name, *code));
     m_process.reset();
     start();
@@ -176,14 +196,13 @@
     nodes.push_back(std::move(node));
 }
 
-void Deployment::rewriteSettings(const SupervisedProcess& process, nlohmann::json settings, std::size_t firstSeed) const
+void Deployment::rewriteSettings(SupervisedProcess& process, nlohmann::json settings, std::size_t firstSeed) const
 {
     nlohmann::json seeds = nlohmann::json::array();
     for (std::size_t i = 0; i < std::min<std::size_t>(gateways.size(), 3); ++i)
         seeds.push_back(addressOf(firstGatewayHost + (firstSeed + i) % gateways.size(), controlPort).toString());
     settings["seeds"] = std::move(seeds);
-    std::ofstream file { process.settingsPath() };
-    file << settings.dump();
+    process.writeSettings(settings.dump());
 }
 
 Awaitable<> Deployment::start()
--- a/test/soak/deployment.h
+++ b/test/soak/deployment.h
@@ -34,13 +34,21 @@
     void restartIfExited(InvariantChecker& checker);
     /*! @brief Ends the process at once. */
     void stop();
-    [[nodiscard]] std::filesystem::path settingsPath() const { return m_directory / (m_name + ".json"); }
+    void writeSettings(const std::string& text);
+    /*! @brief Writes settings that cannot be parsed; a running process ignores them, one that starts exits with 2. */
+    void breakSettings();
     [[nodiscard]] const std::string& name() const { return m_name; }
 
 private:
+    [[nodiscard]] std::filesystem::path settingsPath() const { return m_directory / (m_name + ".json"); }
+
     std::string m_name;
     std::string m_role;
     std::filesystem::path m_directory;
+    TimePoint m_startedAt {};
+    bool m_hasBrokenSettings { false };
+    /*! @brief The settings were broken while the process started, so it may exit with 2. */
+    bool m_mayRefuseSettings { false };
     /*! @brief Null after a failed start. */
     std::unique_ptr<test::ChildProcess> m_process;
     bool m_isEndExpected { false };
@@ -79,7 +87,7 @@
     void restartIfExited();
     void stop();
     /*! @brief Rewrites the settings file of a process with other seed addresses. */
-    void rewriteSettings(const SupervisedProcess& process, nlohmann::json settings, std::size_t firstSeed) const;
+    void rewriteSettings(SupervisedProcess& process, nlohmann::json settings, std::size_t firstSeed) const;
 
     StoreEmulator store;
     std::vector<Gateway> gateways;
--- a/test/soak/fault_injector.cpp
+++ b/test/soak/fault_injector.cpp
@@ -10,7 +10,6 @@
 #include <array>
 #include <chrono>
 #include <csignal>
-#include <fstream>
 #include <utility>
 
 namespace lycheespool::soak {
@@ -159,7 +158,7 @@
                          } });
     m_actions.push_back({ "break settings of an agent", [this](Duration time) {
                              auto& it = randomNode();
-                             std::ofstream { it.process.settingsPath() } << "{";
+                             it.process.breakSettings();
                              it.process.signal(SIGHUP);
                              schedule(std::min<Duration>(time, 1s),
                                  [this, &it] { m_deployment.rewriteSettings(it.process, it.settings, 0); });
