Plan no start for an executor that does not answer its agent

Cause: the leader planned starts for an executor whose agent had already said that it does not answer, until its lists were 2.2 s old, and heard of it only with the next report, up to 0.8 s later. The agent sends no such start.

Change: the agent reports at once that its executor has stopped answering, and the leader plans no start there until it answers again.

Evidence: "an agent reports at once that its executor has stopped answering" fails without the wake-up (800 ms) and passes now; "an executor that does not answer its agent gets no new task until it answers again".

--- a/src/lycheespool/controller/controller_planning.cpp
+++ b/src/lycheespool/controller/controller_planning.cpp
@@ -46,7 +46,7 @@
     // Outdated lists mean that the executor does not answer its agent.
     const bool answers = node.listedAtMs > 0
         && std::chrono::milliseconds { node.newestReportMs - node.listedAtMs } <= m_settings.maxContactAge;
-    return answers && node.state == ExecutorState::ready && !node.isLost
+    return answers && node.isResponding && node.state == ExecutorState::ready && !node.isLost
         && now - node.lastReportAt <= m_settings.maxContactAge && !m_zonesOutOfService.contains(node.zone);
 }
 
--- a/src/lycheespool/controller/controller_runs.cpp
+++ b/src/lycheespool/controller/controller_runs.cpp
@@ -69,6 +69,7 @@
     node.rack = rackOf(report.labels);
     node.capacity = report.capacity;
     node.lastReportAt = now.steady;
+    node.isResponding = report.extendsLease;
     node.earliestDeparture.reset();
     if (report.state == ExecutorState::draining && report.remainingMs > 0)
         node.earliestDeparture = now.steady + std::chrono::milliseconds { report.remainingMs };
--- a/src/lycheespool/controller/executor_view.h
+++ b/src/lycheespool/controller/executor_view.h
@@ -43,6 +43,8 @@
     TimePoint permitsExpireAt {};
     /*! @brief Lifetime of the latest report that was ignored since its executor has not shown to be the present one. */
     Lifetime ignoredLifetime;
+    /*! @brief False while the executor does not answer its agent, which then sends it no start. */
+    bool isResponding { true };
     /*! @brief The permits expired without contact, so no run is left on the node. */
     bool isLost { false };
     /*! @brief Runs that may have begun and were released when the permits expired; their losses count if the agent
--- a/src/lycheespool/nodeagent/node_agent.h
+++ b/src/lycheespool/nodeagent/node_agent.h
@@ -381,6 +381,7 @@
             if (m_leaseClock.isResponding()) {
                 m_leaseClock.setResponding(false);
                 m_unreachableAtMs = clockMs(BootClock {}.now());
+                m_reportDue.wake();
                 logEvent("executor_unreachable",
                     { { "executor", lifetime.executor }, { "kind", static_cast<int>(result.kind) },
                         { "reason", result.reason } });
--- a/test/lycheespool/controller/controller.cpp
+++ b/test/lycheespool/controller/controller.cpp
@@ -188,6 +188,21 @@
     CHECK(f.controller.liveRuns().empty());
 }
 
+// Guards against starts that an agent cannot send: a gang that waits for one is stopped as a whole.
+TEST_CASE("an executor that does not answer its agent gets no new task until it answers again")
+{
+    Fixture f;
+    f.controller.addJob("job", Fixture::job(), {}, 0, Fixture::at(0).steady);
+    auto report = f.report(100);
+    report.extendsLease = false;
+    f.receive(report, 100);
+    (void)f.controller.plan(Fixture::at(100));
+    CHECK(f.controller.liveRuns().empty());
+    f.receive(f.report(200), 200);
+    (void)f.controller.plan(Fixture::at(200));
+    CHECK(f.controller.liveRuns().size() == 1);
+}
+
 TEST_CASE("tasks of a node that stops reporting restart elsewhere only after its permits have expired")
 {
     Fixture f;
--- a/test/lycheespool/nodeagent/agent_reports.cpp
+++ b/test/lycheespool/nodeagent/agent_reports.cpp
@@ -178,6 +178,21 @@
     CHECK(f.reports().back().previousLifetime.startedUnixMs == 2);
 }
 
+// Guards against starts that are planned for a crashed executor until its agent's next report is due.
+TEST_CASE("an agent reports at once that its executor has stopped answering")
+{
+    Fixture f;
+    f.executor.answers.assign(3, accepted());
+    f.announce(1);
+    REQUIRE(f.runUntil([](const NodeReport& it) { return it.provesExecutor(); }));
+    const auto isSilent = [](const NodeReport& it) { return it.listedAtMs > 0 && !it.extendsLease; };
+    REQUIRE(f.runUntil(isSilent));
+    const auto reports = f.reports();
+    const auto silent = std::ranges::find_if(reports, isSilent);
+    REQUIRE(silent != reports.begin());
+    CHECK(silent->sentAtMs - std::prev(silent)->sentAtMs < 600);
+}
+
 // Guards against a lease of a new executor that lasts longer than the leader knows.
 TEST_CASE("a lease is extended only by a permit for its own lifetime")
 {
