--- a/src/lycheespool/controller/controller_runs.cpp
+++ b/src/lycheespool/controller/controller_runs.cpp
@@ -115,7 +115,7 @@
 void Controller::ignoreReport(ExecutorView& node, const NodeReport& report)
 {
     m_reportsIgnored.add();
-    // The agent repeats its report several times a second.
+    // The agent repeats its report at least once a second, so each lifetime is logged once.
     if (std::exchange(node.ignoredLifetime, report.lifetime) == report.lifetime)
         return;
     logEvent("report_ignored",
--- a/src/lycheespool/controller/executor_view.h
+++ b/src/lycheespool/controller/executor_view.h
@@ -41,7 +41,7 @@
     std::optional<TimePoint> earliestDeparture;
     /*! @brief Time after which all permits granted to the agent have expired. */
     TimePoint permitsExpireAt {};
-    /*! @brief Lifetime of the latest report that was ignored since its executor has not shown to be the present one. */
+    /*! @brief Lifetime that the latest ignored report named. */
     Lifetime ignoredLifetime;
     /*! @brief False while the executor does not answer its agent, which then sends it no start. */
     bool isResponding { true };
