Apply the ends of runs that were released before

Cause: Controller::applyEnd acknowledged each listed end for good, but applied it only to a run that the leader still held. The end of a run released because its permits had expired, by this leader or an earlier one, was dropped without a line. The same held for failed ends, which then spent no attempt (BUDGET).

Change: an end is a fact about a task. A released run that is listed as done completes its task, or its gang, and stops their other runs; one that failed spends an attempt; its checkpoint is kept unless a later run was planned. The row records by number which failures are counted, so an end that two leaders list counts once. run_ended says whether the run was released, end_without_run names ends that fit no run.

--- a/src/lycheespool/controller/controller.h
+++ b/src/lycheespool/controller/controller.h
@@ -249,11 +249,17 @@
 
     // Runs.
     void applyEnd(ExecutorView& node, const RunEnd& end, const ClockReading& now);
+    void applyEndOfLiveRun(
+        ExecutorView& node, ManagedWorkload& job, Runs::iterator it, const RunEnd& end, const ClockReading& now);
+    void applyEndOfReleasedRun(
+        ExecutorView& node, ManagedWorkload& job, const RunKey& key, const RunEnd& end, const ClockReading& now);
+    [[nodiscard]] static bool isFailureCounted(ManagedWorkload& job, const RunKey& key);
+    [[nodiscard]] static bool knowsFailedRuns(const ManagedWorkload& job, const TaskPosition& position);
     void recordFailure(
         ManagedWorkload& job, const RunKey& key, const LiveRun& run, ExecutorView& node, const ClockReading& now);
     void recordSuspicion(ManagedWorkload& job, const LiveRun& run, ExecutorView& node, const ClockReading& now);
     void markBegun(ManagedWorkload& job, const ClockReading& now);
-    void markDone(ManagedWorkload& job, const TaskPosition& position, const ClockReading& now);
+    void markDone(ManagedWorkload& job, const TaskPosition& position, std::uint64_t run, const ClockReading& now);
     void releaseRun(Runs::iterator it);
     void withdrawUnsentStart(Runs::iterator it, const std::string& reason, const ClockReading& now);
     void stopRun(const RunKey& key, const std::string& reason);
@@ -334,6 +340,8 @@
     Counter& m_runsFailed;
     Counter& m_runsFailedOnSuspects;
     Counter& m_runsLost;
+    Counter& m_endsOfReleasedRuns;
+    Counter& m_endsWithoutRun;
     Counter& m_reportsIgnored;
     Counter& m_crashesAttributed;
     Counter& m_runsEvicted;
--- a/src/lycheespool/controller/controller_jobs.cpp
+++ b/src/lycheespool/controller/controller_jobs.cpp
@@ -30,6 +30,8 @@
     , m_runsFailed { metrics.counter("runs_failed_total") }
     , m_runsFailedOnSuspects { metrics.counter("runs_failed_on_suspects_total") }
     , m_runsLost { metrics.counter("runs_lost_total") }
+    , m_endsOfReleasedRuns { metrics.counter("ends_of_released_runs_total") }
+    , m_endsWithoutRun { metrics.counter("ends_without_run_total") }
     , m_reportsIgnored { metrics.counter("node_reports_ignored_total") }
     , m_crashesAttributed { metrics.counter("crashes_attributed_total") }
     , m_runsEvicted { metrics.counter("runs_evicted_total") }
--- a/src/lycheespool/controller/controller_planning.cpp
+++ b/src/lycheespool/controller/controller_planning.cpp
@@ -460,7 +460,7 @@
         const TaskPosition position { waiting.occurrence, waiting.step, waiting.indices[i] };
         auto& task = job.progress.at(position);
         const auto& node = m_nodes.at(nodes[i]);
-        task.lastRun = spec.isGang ? gangRun : task.lastRun + 1;
+        task.setLastRun(spec.isGang ? gangRun : task.lastRun + 1);
         if (spec.isGang)
             task.checkpoint = gangCheckpoint;
         task.placements.push_back({ node.lifetime, node.node, task.lastRun });
--- a/src/lycheespool/controller/controller_runs.cpp
+++ b/src/lycheespool/controller/controller_runs.cpp
@@ -217,51 +217,99 @@
     }
 }
 
+/*! @brief Records an end that its executor lists. The acknowledgement is final, so the end of a run that was released
+ * before counts as well. */
 void Controller::applyEnd(ExecutorView& node, const RunEnd& end, const ClockReading& now)
 {
     node.endsApplied = end.number;
     const auto name = parseTaskName(end.task);
     auto* const job = name ? findJob(name->job) : nullptr;
-    if (!job) {
+    const auto* const task = job ? job->progress.find(name->position) : nullptr;
+    if (!task || end.run == 0 || end.run > task->lastRun) {
+        m_endsWithoutRun.add();
+        logEvent("end_without_run",
+            { { "task", end.task }, { "run", end.run }, { "how", endName(end.kind) }, { "node", node.node },
+                { "executor", node.lifetime.executor }, { "number", end.number }, { "job_known", job != nullptr },
+                { "epoch", m_epoch.value() } });
         node.pendingEnds.push_back({ end.number, {}, 0 });
         return;
     }
     const RunKey key { *name, end.run };
     const auto it = m_runs.find(key);
-    if (it != m_runs.end() && it->second.lifetime == node.lifetime) {
-        logEvent("run_ended",
-            { { "task", end.task }, { "run", end.run }, { "how", endName(end.kind) }, { "node", node.node },
-                { "executor", node.lifetime.executor }, { "number", end.number },
-                { "reason", it->second.stopReason } });
-        const auto& position = key.task.position;
-        const bool isGang = job->row.request.steps[position.step].isGang;
-        // The checkpoint of the end is newer than the one that was listed before.
-        if (!end.checkpoint.empty())
-            it->second.checkpoint = end.checkpoint;
-        if (end.kind == RunEndKind::done)
-            recordDuration(*job, key, it->second, now);
-        const auto run = it->second;
-        // A run may begin and end between two lists.
-        if (end.kind != RunEndKind::stopped)
-            markBegun(*job, now);
-        releaseRun(it);
-        if (end.kind != RunEndKind::failed)
-            recordWork(node, run, now.steady);
-        if (end.kind == RunEndKind::done) {
-            m_runsDone.add();
-            recordSuccess(node, run, now);
-            if (!isEnded(job->progress.state))
-                markDone(*job, position, now);
-        } else {
-            if (end.kind == RunEndKind::failed)
-                recordFailure(*job, key, run, node, now);
-            if (isGang)
-                stopGangOf(*job, position, end.run, "another member of the gang ended");
-        }
-    }
+    const bool isLive = it != m_runs.end() && it->second.lifetime == node.lifetime;
+    logEvent("run_ended",
+        { { "task", end.task }, { "run", end.run }, { "how", endName(end.kind) }, { "node", node.node },
+            { "executor", node.lifetime.executor }, { "number", end.number },
+            { "reason", isLive ? it->second.stopReason : std::string {} }, { "released", !isLive },
+            { "task_done", task->done }, { "latest_run", task->lastRun } });
+    if (isLive)
+        applyEndOfLiveRun(node, *job, it, end, now);
+    else
+        applyEndOfReleasedRun(node, *job, key, end, now);
     node.pendingEnds.push_back({ end.number, job->id, job->revision });
 }
 
+void Controller::applyEndOfLiveRun(
+    ExecutorView& node, ManagedWorkload& job, Runs::iterator it, const RunEnd& end, const ClockReading& now)
+{
+    const auto key = it->first;
+    const auto& position = key.task.position;
+    // The checkpoint of the end is newer than the one that was listed before.
+    if (!end.checkpoint.empty())
+        it->second.checkpoint = end.checkpoint;
+    if (end.kind == RunEndKind::done)
+        recordDuration(job, key, it->second, now);
+    const auto run = it->second;
+    // A run may begin and end between two lists.
+    if (end.kind != RunEndKind::stopped)
+        markBegun(job, now);
+    releaseRun(it);
+    if (end.kind != RunEndKind::failed)
+        recordWork(node, run, now.steady);
+    if (end.kind == RunEndKind::done) {
+        m_runsDone.add();
+        recordSuccess(node, run, now);
+        if (!isEnded(job.progress.state))
+            markDone(job, position, end.run, now);
+        return;
+    }
+    if (end.kind == RunEndKind::failed)
+        recordFailure(job, key, run, node, now);
+    if (job.row.request.steps[position.step].isGang)
+        stopGangOf(job, position, end.run, "another member of the gang ended");
+}
+
+/*! @brief Records the end of a run that the leader gave up before, or that an earlier leader did. */
+void Controller::applyEndOfReleasedRun(
+    ExecutorView& node, ManagedWorkload& job, const RunKey& key, const RunEnd& end, const ClockReading& now)
+{
+    const auto& position = key.task.position;
+    auto& task = job.progress.at(position);
+    if (isEnded(job.progress.state) || task.done)
+        return;
+    m_endsOfReleasedRuns.add();
+    if (end.kind != RunEndKind::stopped)
+        markBegun(job, now);
+    if (end.kind == RunEndKind::done) {
+        m_runsDone.add();
+        markDone(job, position, end.run, now);
+        return;
+    }
+    if (end.run == task.lastRun && !end.checkpoint.empty()) {
+        recordCheckpoint(job, key, end.checkpoint);
+        markChanged(job);
+    }
+    // A list repeats an end that an earlier leader has counted.
+    if (end.kind == RunEndKind::failed && !isFailureCounted(job, key) && knowsFailedRuns(job, position)) {
+        LiveRun run;
+        run.lifetime = node.lifetime;
+        run.node = node.node;
+        recordFailure(job, key, run, node, now);
+    }
+    if (job.row.request.steps[position.step].isGang)
+        stopGangOf(job, position, end.run, "another member of the gang ended");
+}
+
 /*! @brief Records that an executor has begun a task of the job. */
 void Controller::markBegun(ManagedWorkload& job, const ClockReading& now)
 {
@@ -272,14 +320,22 @@
     markChanged(job);
 }
 
-void Controller::markDone(ManagedWorkload& job, const TaskPosition& position, const ClockReading& now)
+/*! @brief Completes a task, or all tasks of a gang, and stops their other runs. */
+void Controller::markDone(
+    ManagedWorkload& job, const TaskPosition& position, std::uint64_t run, const ClockReading& now)
 {
     const auto& step = job.row.request.steps[position.step];
     if (step.isService)
         return;
     auto& round = job.round(position.occurrence, position.step);
     const auto finish = [&](std::uint32_t index) {
-        auto& task = job.progress.at({ position.occurrence, position.step, index });
+        const TaskPosition member { position.occurrence, position.step, index };
+        auto& task = job.progress.at(member);
+        for (const auto& it : task.placements) {
+            // The members of the run that is done end by themselves.
+            if (it.run != run)
+                stopRun({ { job.id, member }, it.run }, "another run of the task is done");
+        }
         if (std::exchange(task.done, true))
             return;
         --round.open;
@@ -291,9 +347,6 @@
             finish(i);
     } else {
         finish(position.index);
-        // Stops other runs of the task.
-        for (const auto& it : job.progress.at(position).placements)
-            stopRun({ { job.id, position }, it.run }, "another run of the task is done");
     }
     if (round.open == 0)
         m_speeds.addStep(std::exchange(round.runs, {}));
--- a/src/lycheespool/controller/controller_trust.cpp
+++ b/src/lycheespool/controller/controller_trust.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <array>
+#include <ranges>
 #include <utility>
 
 namespace lycheespool {
@@ -93,6 +94,31 @@
     node.suspectedUntil = now + suspicion;
 }
 
+/*! @brief Checks if the failure of a run is counted; the members of a gang share one count. */
+bool Controller::isFailureCounted(ManagedWorkload& job, const RunKey& key)
+{
+    const auto& position = key.task.position;
+    const auto& step = job.row.request.steps[position.step];
+    if (!step.isGang)
+        return job.progress.at(position).isFailureCounted(key.run);
+    // Rows of earlier versions name only the latest failed run of a gang.
+    return job.round(position.occurrence, position.step).lastFailedRun == key.run
+        || std::ranges::any_of(std::views::iota(0U, step.tasks), [&](auto i) {
+               return job.progress.at({ position.occurrence, position.step, i }).isFailureCounted(key.run);
+           });
+}
+
+/*! @brief Checks if the failed runs of a task, or of its gang, are known by number. */
+bool Controller::knowsFailedRuns(const ManagedWorkload& job, const TaskPosition& position)
+{
+    const auto& step = job.row.request.steps[position.step];
+    if (!step.isGang)
+        return job.progress.at(position).knowsFailedRuns();
+    return std::ranges::all_of(std::views::iota(0U, step.tasks), [&](auto i) {
+        return job.progress.at({ position.occurrence, position.step, i }).knowsFailedRuns();
+    });
+}
+
 void Controller::recordFailure(
     ManagedWorkload& job, const RunKey& key, const LiveRun& run, ExecutorView& node, const ClockReading& now)
 {
@@ -104,13 +130,13 @@
     const auto& step = job.row.request.steps[position.step];
     auto& round = job.round(position.occurrence, position.step);
     auto& task = job.progress.at(position);
-    if (step.isGang && round.lastFailedRun == key.run)
+    if (isFailureCounted(job, key))
         return;
     round.lastFailedRun = key.run;
     if (step.isGang)
         task.lastFailedRun = key.run;
     round.failedAt[step.isGang ? 0 : position.index] = now.steady;
-    ++task.failures;
+    task.countFailure(key.run);
     ++round.gangFailures;
     markChanged(job);
     const auto failures = step.isGang ? round.gangFailures : task.failures;
--- a/src/lycheespool/workload/job_progress.cpp
+++ b/src/lycheespool/workload/job_progress.cpp
@@ -3,7 +3,9 @@
 #include "lycheespool/core/error.h"
 
 #include <algorithm>
+#include <bit>
 #include <ranges>
+#include <utility>
 
 namespace lycheespool {
 
@@ -34,10 +36,35 @@
     MSGPACK_DEFINE(header, done, tasks)
 };
 
+// Number of runs that TaskProgress::failedRuns covers.
+constexpr std::uint64_t coveredRuns = 64;
+
 bool isStored(const TaskProgress& task) { return !task.placements.empty() || (!task.done && task.lastRun > 0); }
 
 }
 
+void TaskProgress::setLastRun(std::uint64_t run)
+{
+    const auto advance = run - lastRun;
+    failedRuns = advance < coveredRuns ? failedRuns << advance : 0;
+    lastRun = run;
+}
+
+bool TaskProgress::isFailureCounted(std::uint64_t run) const
+{
+    const auto age = lastRun - run;
+    return age >= coveredRuns || (failedRuns >> age & 1U) != 0;
+}
+
+void TaskProgress::countFailure(std::uint64_t run)
+{
+    ++failures;
+    if (const auto age = lastRun - run; age < coveredRuns)
+        failedRuns |= std::uint64_t { 1 } << age;
+}
+
+bool TaskProgress::knowsFailedRuns() const { return std::cmp_equal(std::popcount(failedRuns), failures); }
+
 JobProgress::JobProgress(const JobRequest& request)
     : m_occurrences { request.occurrenceCount() }
 {
@@ -78,6 +105,7 @@
     auto& task = stored.task;
     task.failures = task.crashes = task.losses = maxCount;
     task.lastRun = task.lastFailedRun = maxCount;
+    task.failedRuns = std::numeric_limits<std::uint64_t>::max();
     task.checkpoint.resize(checkpointBytes);
     task.placements.push_back({ { std::string(executorBytes, ' '), std::numeric_limits<std::int64_t>::max() },
         std::string(nodeBytes, ' '), maxCount });
--- a/src/lycheespool/workload/job_progress.h
+++ b/src/lycheespool/workload/job_progress.h
@@ -48,7 +48,31 @@
     std::uint32_t losses { 0 };
     /*! @brief Run of the latest counted failure of a gang member; 0 for none. */
     std::uint64_t lastFailedRun { 0 };
-    MSGPACK_DEFINE(done, failures, lastRun, checkpoint, placements, crashes, losses, lastFailedRun)
+    /*! @brief Runs whose failure is counted: bit n stands for the run lastRun - n. */
+    std::uint64_t failedRuns { 0 };
+    MSGPACK_DEFINE(done, failures, lastRun, checkpoint, placements, crashes, losses, lastFailedRun, failedRuns)
+
+    /**
+     * @brief Sets the number of the latest run.
+     * @param run The number; greater than lastRun.
+     */
+    void setLastRun(std::uint64_t run);
+
+    /**
+     * @brief Checks if the failure of a run is counted.
+     * @param run Number of the run.
+     * @return True if it is counted, or if the run is too old to tell.
+     */
+    [[nodiscard]] bool isFailureCounted(std::uint64_t run) const;
+
+    /**
+     * @brief Counts the failure of a run.
+     * @param run Number of the run; at most lastRun.
+     */
+    void countFailure(std::uint64_t run);
+
+    /*! @brief Returns true if failedRuns covers all failures; rows of earlier versions do not name their runs. */
+    [[nodiscard]] bool knowsFailedRuns() const;
 };
 
 /*! @brief Header of a progress row, for readers that need only the state. */
--- a/test/lycheespool/controller/cluster_simulation.h
+++ b/test/lycheespool/controller/cluster_simulation.h
@@ -378,7 +378,10 @@
             const auto permitMs = std::chrono::duration_cast<std::chrono::milliseconds>(permit).count();
             executor.permitUntilMs = std::max(executor.permitUntilMs, sent + permitMs);
             for (const auto& it : executor.ended) {
-                if (it.number <= stored && it.number > executor.endsBeforeExpiry && it.kind == RunEndKind::done)
+                if (it.number > stored || it.kind != RunEndKind::done)
+                    continue;
+                m_storedDone.emplace(*parseTaskName(it.task), m_nowMs);
+                if (it.number > executor.endsBeforeExpiry)
                     acknowledgeDone(it);
             }
             const auto isStored = [&](const auto& it) { return it.number <= stored; };
@@ -550,6 +553,9 @@
         const auto name = key.task.toString() + " run " + std::to_string(key.run) + " on " + executor.node;
         if (m_acknowledgedDone.contains(key.task))
             violation("start after the end was acknowledged as done: " + name);
+        const auto stored = m_storedDone.find(key.task);
+        if (stored != m_storedDone.end() && m_nowMs - stored->second > 1000)
+            violation("start over a second after the leader stored that the task is done: " + name);
         if (job.isCancelled && m_nowMs - job.cancelledMs > 3000)
             violation("start of a cancelled job: " + name);
         for (const auto before : step.after) {
@@ -612,6 +618,8 @@
     std::map<std::string, std::pair<std::string, std::uint64_t>> m_rows;
     std::multimap<std::int64_t, std::function<void()>> m_events;
     std::set<TaskName> m_acknowledgedDone;
+    /*! @brief When an end as done was first acknowledged, whether or not the lease had expired since the end. */
+    std::map<TaskName, std::int64_t> m_storedDone;
     std::set<TaskName> m_completedTasks;
     /*! @brief Number of the latest run of each task that an executor started. */
     std::map<TaskName, std::uint64_t> m_latestStarts;
--- /dev/null
+++ b/test/lycheespool/controller/released_runs.cpp
@@ -0,0 +1,184 @@
+// Ends of runs that the leader released before their executor listed them.
+#include "lycheespool/controller/controller_fixture.h"
+
+#include <algorithm>
+
+using namespace lycheespool;
+
+namespace {
+
+constexpr std::int64_t releasedMs = 20000;
+
+/*! @brief A controller whose runs on some nodes were released because the permits of their executors expired. */
+class ReleasedRunFixture : public ControllerFixture {
+public:
+    explicit ReleasedRunFixture(JobRow row, std::size_t nodes = 1)
+        : m_row { std::move(row) }
+    {
+        controller.addJob("job", m_row, {}, 0, at(10).steady);
+        for (std::size_t i = 0; i < nodes; ++i)
+            receive(report(10, "node-" + std::to_string(i)), 10);
+        (void)controller.plan(at(10));
+        storeAll();
+        for (const auto& [node, orders] : controller.takeOrders(at(10))) {
+            confirm(node, orders, 15);
+            for (const auto& it : orders.orders)
+                runs[node].push_back({ it.task, it.run, {}, 10 });
+        }
+        controller.superviseRuns(at(releasedMs));
+        REQUIRE(controller.liveRuns().empty());
+        storeAll();
+    }
+
+    /*! @brief Report of an executor that lists the ends of all runs that it had. */
+    [[nodiscard]] NodeReport listed(RunEndKind kind, std::int64_t ms, const std::string& node = "node-0") const
+    {
+        auto it = report(ms, node);
+        it.listExtent = ListExtent::complete;
+        for (const auto& run : runs.at(node))
+            it.ended.push_back({ it.ended.size() + 1, run.task, run.run, kind, "000020" });
+        return it;
+    }
+
+    /*! @brief Starts the job again on an unused node; returns its orders. */
+    std::map<std::string, NodeOrders> startAgain(const std::string& node, std::int64_t ms)
+    {
+        receive(report(ms, node), ms);
+        auto orders = ordersFor(node, ms);
+        confirm(node, orders.at(node), ms + 5);
+        return orders;
+    }
+
+    [[nodiscard]] const JobProgress& progress() const { return controller.jobs().at("job").progress; }
+
+    /*! @brief Lets a successor take over from the stored rows. */
+    [[nodiscard]] Controller successor(std::int64_t ms)
+    {
+        const auto stored = progress().encode("queue", "");
+        Controller it { ControllerSettings {}, Epoch { 2 }, at(ms).steady, metrics };
+        it.setConfig(std::make_shared<const OperatorConfig>());
+        it.addJob("job", m_row, stored, ++version, at(ms).steady);
+        return it;
+    }
+
+    std::map<std::string, std::vector<RunningTask>> runs;
+
+private:
+    JobRow m_row;
+};
+
+}
+
+// Guards against repeating finished work whose executor was cut off, until the job is given up (LOST).
+TEST_CASE("a task is done when a released run of it is listed as done")
+{
+    ReleasedRunFixture f { ControllerFixture::job() };
+    f.receive(f.listed(RunEndKind::done, releasedMs + 100), releasedMs + 100);
+    CHECK(f.progress().state == WorkloadState::completed);
+    CHECK(f.controller.endsStored("node-0", f.report(0).lifetime) == 0);
+    f.storeAll();
+    CHECK(f.controller.endsStored("node-0", f.report(0).lifetime) == 1);
+}
+
+// Guards against a second run that goes on beside a finished one.
+TEST_CASE("a released run that is listed as done stops the later run of its task")
+{
+    ReleasedRunFixture f { ControllerFixture::job() };
+    const auto orders = f.startAgain("node-1", releasedMs + 100);
+    const auto& run = orders.at("node-1").orders.at(0);
+    f.receive(f.listed(RunEndKind::done, releasedMs + 200), releasedMs + 200);
+    CHECK(f.progress().state == WorkloadState::completed);
+    auto later = f.report(releasedMs + 300, "node-1");
+    later.running = { { run.task, run.run, {}, 10 } };
+    f.receive(later, releasedMs + 300);
+    const auto stops = f.controller.takeOrders(ControllerFixture::at(releasedMs + 300));
+    REQUIRE(stops.contains("node-1"));
+    CHECK_FALSE(stops.at("node-1").orders.at(0).isStart);
+    CHECK(stops.at("node-1").orders.at(0).run == run.run);
+}
+
+// Guards against a gang that works again although a released run of it was completed.
+TEST_CASE("a gang is done when a released member is listed as done, and its later run is stopped")
+{
+    auto row = ControllerFixture::job(2, true);
+    row.request.steps[0].perTask = { 1000, 1000, 8 };
+    ReleasedRunFixture f { row, 2 };
+    f.receive(f.report(releasedMs + 100, "node-2"), releasedMs + 100);
+    const auto orders = f.startAgain("node-3", releasedMs + 100);
+    REQUIRE(f.controller.liveRuns().size() == 2);
+    f.receive(f.listed(RunEndKind::done, releasedMs + 200), releasedMs + 200);
+    CHECK(f.progress().state == WorkloadState::completed);
+    CHECK(std::ranges::all_of(f.controller.liveRuns(), [](const auto& it) { return it.second.isStopping(); }));
+}
+
+// Guards against more attempts than the queue allows, after failures of runs that were released (BUDGET).
+TEST_CASE("a released run that is listed as failed spends an attempt")
+{
+    ReleasedRunFixture f { ControllerFixture::job() };
+    f.receive(f.listed(RunEndKind::failed, releasedMs + 100), releasedMs + 100);
+    CHECK(f.progress().at({ 0, 0, 0 }).failures == 1);
+    auto orders = f.startAgain("node-1", releasedMs + 10000);
+    const auto& run = orders.at("node-1").orders.at(0);
+    auto failed = f.report(releasedMs + 10100, "node-1");
+    failed.ended = { { 1, run.task, run.run, RunEndKind::failed, {} } };
+    f.receive(failed, releasedMs + 10100);
+    CHECK(f.progress().state == WorkloadState::failed);
+}
+
+// Guards against a job that is shown as failed because one failed run was counted by two leaders (LOST).
+TEST_CASE("a failed run that two leaders list spends one attempt")
+{
+    for (const bool isGang : { false, true }) {
+        CAPTURE(isGang);
+        ReleasedRunFixture f { ControllerFixture::job(1, isGang) };
+        const auto list = f.listed(RunEndKind::failed, releasedMs + 100);
+        f.receive(list, releasedMs + 100);
+        auto successor = f.successor(releasedMs + 200);
+        successor.onReport(list, ControllerFixture::at(releasedMs + 300));
+        CHECK(successor.jobs().at("job").progress.at({ 0, 0, 0 }).failures == 1);
+        CHECK(successor.jobs().at("job").progress.state == WorkloadState::running);
+    }
+}
+
+// Guards against counting a failure twice whose run the row of an earlier version does not name.
+TEST_CASE("a failure in the row of an earlier version is not counted again")
+{
+    ReleasedRunFixture f { ControllerFixture::job() };
+    const auto list = f.listed(RunEndKind::failed, releasedMs + 100);
+    auto old = f.progress();
+    old.at({ 0, 0, 0 }).failures = 1;
+    Controller successor { ControllerSettings {}, Epoch { 2 }, ControllerFixture::at(releasedMs).steady, f.metrics };
+    successor.setConfig(std::make_shared<const OperatorConfig>());
+    successor.addJob(
+        "job", ControllerFixture::job(), old.encode("queue", ""), 9, ControllerFixture::at(releasedMs).steady);
+    successor.onReport(list, ControllerFixture::at(releasedMs + 100));
+    CHECK(successor.jobs().at("job").progress.at({ 0, 0, 0 }).failures == 1);
+    CHECK(successor.jobs().at("job").progress.state == WorkloadState::running);
+}
+
+// Guards against saved work that is thrown away because its run was released before it was stopped.
+TEST_CASE("the checkpoint of a released run is kept unless its task has a later run")
+{
+    for (const bool hasLaterRun : { false, true }) {
+        CAPTURE(hasLaterRun);
+        ReleasedRunFixture f { ControllerFixture::job() };
+        if (hasLaterRun)
+            (void)f.startAgain("node-1", releasedMs + 100);
+        f.receive(f.listed(RunEndKind::lapsed, releasedMs + 200), releasedMs + 200);
+        CHECK(f.progress().at({ 0, 0, 0 }).checkpoint == (hasLaterRun ? "" : "000020"));
+    }
+}
+
+// Guards against an entry of a list that names a run which was never ordered.
+TEST_CASE("ends of unknown jobs, tasks and runs are acknowledged and change nothing")
+{
+    ReleasedRunFixture f { ControllerFixture::job() };
+    auto list = f.report(releasedMs + 100);
+    list.ended = { { 1, "0123456789abcdef.0.0.0", 1, RunEndKind::done, {} },
+        { 2, "job.0.0.7", 1, RunEndKind::done, {} }, { 3, "job.0.0.0", 2, RunEndKind::done, {} },
+        { 4, "job.0.0.0", 0, RunEndKind::failed, {} }, { 5, "not a task", 1, RunEndKind::done, {} } };
+    f.receive(list, releasedMs + 100);
+    CHECK(f.progress().state == WorkloadState::running);
+    CHECK(f.progress().at({ 0, 0, 0 }).failures == 0);
+    CHECK(f.controller.endsStored("node-0", list.lifetime) == 5);
+}
