Take unknown runs only from lists that are newer than the last one

Callers saw: finished or nearly finished work stopped and started again.

Cause: an agent repeats its latest list while the executor does not answer. A list from before the permits expired was read again after the runs had been released, named them as unknown, and the leader ordered their stops.

Change: running tasks are read once from each list; ends and absences are still read from repeated ones.

--- a/src/lycheespool/controller/controller_runs.cpp
+++ b/src/lycheespool/controller/controller_runs.cpp
@@ -77,6 +77,8 @@
         node.earliestDeparture = now.steady + std::chrono::milliseconds { report.remainingMs };
     // Lists that were delayed on another connection must not override newer ones.
     const bool isOutdated = report.listedAtMs < node.listedAtMs;
+    // An agent repeats its latest list while the executor does not answer; runs may have been released since.
+    const bool isRepeated = report.listedAtMs == node.listedAtMs;
     node.newestReportMs = std::max(node.newestReportMs, report.sentAtMs);
     node.listedAtMs = std::max(node.listedAtMs, report.listedAtMs);
     if (report.state == ExecutorState::departed || report.state == ExecutorState::absent) {
@@ -92,7 +94,8 @@
         if (it.number > node.endsApplied)
             applyEnd(node, it, now);
     }
-    processRunningTasks(node, report, now);
+    if (!isRepeated)
+        processRunningTasks(node, report, now);
     releaseUnlistedRuns(node, report);
 }
 
--- a/test/lycheespool/controller/released_runs.cpp
+++ b/test/lycheespool/controller/released_runs.cpp
@@ -182,3 +182,20 @@
     CHECK(f.progress().at({ 0, 0, 0 }).failures == 0);
     CHECK(f.controller.endsStored("node-0", list.lifetime) == 5);
 }
+
+// Guards against stops of runs that may be done by now, on the word of a list from before their release.
+TEST_CASE("a list that is repeated after the release of its runs causes no stop")
+{
+    ControllerFixture f;
+    const auto run = f.startOne(10);
+    auto list = f.report(500);
+    list.running = { run };
+    f.receive(list, 500);
+    f.controller.superviseRuns(ControllerFixture::at(releasedMs));
+    REQUIRE(f.controller.liveRuns().empty());
+    list.sentAtMs = releasedMs + 100;
+    list.extendsLease = false;
+    f.receive(list, releasedMs + 100);
+    CHECK(f.controller.nodes().at("node-0").unknownRuns.empty());
+    CHECK(f.controller.takeOrders(ControllerFixture::at(releasedMs + 100)).empty());
+}
