Ask an executor that does not answer for its lists without a wait

Callers saw: work thrown away and repeated, because executors that carried out all calls but whose answers were lost counted as lost.

Cause: each call for the lists waits up to 0.9 s for an end, so a lost answer takes 1.6 s and a pause; between the first lost answer and the expiry of the permits there were three or four attempts.

Change: while the executor does not answer, the calls do not wait, so there are about seven attempts. The permits and their bound are unchanged: a run is released 6.5 s after the last permit, which is as long as its lease can last.

Test: the new case of test_nodeagent fails on the code before.

--- a/src/lycheespool/nodeagent/node_agent.h
+++ b/src/lycheespool/nodeagent/node_agent.h
@@ -361,7 +361,8 @@
     [[nodiscard]] Awaitable<bool> hold()
     {
         const auto sent = BootClock {}.now();
-        const auto wait = m_leaseClock.hasSample() && m_ended.empty()
+        // A lost answer delays the next call by the wait, and the leader gives the runs up after a few of them.
+        const auto wait = m_leaseClock.isExtending() && m_ended.empty()
             ? std::min<Duration>(maxHoldWait, m_settings.bounds.maxLease / 4)
             : Duration {};
         HoldRequest request;
--- a/test/lycheespool/nodeagent/node_agent.cpp
+++ b/test/lycheespool/nodeagent/node_agent.cpp
@@ -17,6 +17,8 @@
     /*! @brief Lifetime that the latest call named. */
     Lifetime called;
     std::size_t calls { 0 };
+    /*! @brief Time for which the latest call for the lists may wait, ms. */
+    std::int64_t waitMs { 0 };
 
     [[nodiscard]] ExecutorAnswer answerTo(const Lifetime& lifetime)
     {
@@ -35,6 +37,7 @@
     [[nodiscard]] Awaitable<ExecutorAnswer> stop(RunStop stop, Duration) { co_return answerTo(stop.lifetime); }
     [[nodiscard]] Awaitable<HoldAnswer> hold(HoldRequest request, Duration)
     {
+        waitMs = request.waitMs;
         co_await sleepFor(5ms);
         co_return HoldAnswer { answerTo(request.lifetime), {}, {} };
     }
@@ -167,3 +170,17 @@
     f.depart(f.sound.executor);
     CHECK_FALSE(f.callsExecutor());
 }
+
+// Guards against runs that are given up because each call to an executor with lost answers took 1.6 s.
+TEST_CASE("an executor that does not answer is asked for its lists without a wait until it answers again")
+{
+    AgentFixture f;
+    f.runFor(50ms);
+    CHECK(f.control.waitMs > 0);
+    f.control.isSilent = true;
+    f.runFor(500ms);
+    CHECK(f.control.waitMs == 0);
+    f.control.isSilent = false;
+    f.runFor(500ms);
+    CHECK(f.control.waitMs > 0);
+}
