Store that a run was at work, in place of comparing restarts of a zone

Cause: whether a run has outlasted its start was known only to the leader that listed it. A power failure that also took the leader counted as a loss of each run there, however long it had worked, and five losses end a job.

Change: the placement in the row says whether a list has shown the run after its start window; a later leader takes it from there. run_lost names the evidence (counted, witnessed, was_at_work, planned_in_term).

Test: "a task that was at work before its VMs lost power is repeated, whoever leads"; the tests of crashing tasks pass unchanged.

--- a/src/lycheespool/controller/controller.h
+++ b/src/lycheespool/controller/controller.h
@@ -238,17 +238,6 @@
         std::map<Lifetime, std::vector<EvictableRun>> byLifetime;
     };
 
-    /*! @brief What other VMs of a zone say about the restart of one of them. */
-    struct CommonRestarts {
-        /*! @brief VMs that restarted at the same time and held no run of the job in question. */
-        std::size_t restarted { 0 };
-        /*! @brief VMs that ran on. */
-        std::size_t survived { 0 };
-
-        /*! @brief Returns true if the restarts have a common cause, as a power failure of the zone. */
-        [[nodiscard]] bool haveCommonCause() const { return restarted > 0 && restarted >= survived; }
-    };
-
     // Jobs.
     void restoreTasks(ManagedWorkload& job, TimePoint now);
     void markChanged(ManagedWorkload& job) { ++job.revision; }
@@ -281,17 +270,14 @@
     void ignoreReport(ExecutorView& node, const NodeReport& report);
     void adoptLifetime(ExecutorView& node, const NodeReport& report, const ClockReading& now);
     template <std::predicate<const Lifetime&> HasEnded>
-    ExecutorView::VmRestart releaseLostRuns(const std::string& node, const HasEnded& hasEnded,
-        const std::string& reason, const ClockReading& now, const NodeReport* report = nullptr,
-        TimePoint startedAt = {});
-    [[nodiscard]] CommonRestarts commonRestarts(
-        const std::string& node, const std::string& zone, TimePoint startedAt, const std::string& job) const;
-    void withdrawExplainedLosses(const ExecutorView& node);
+    void releaseLostRuns(const std::string& node, const HasEnded& hasEnded, const std::string& reason,
+        const ClockReading& now, const NodeReport* report = nullptr);
     [[nodiscard]] static bool hasJustStarted(const LiveRun& run, const NodeReport* report);
     [[nodiscard]] static bool countsAsLoss(const LiveRun& run, const NodeReport* report, std::size_t startingJobs);
     void recordLoss(
         ManagedWorkload& job, const RunKey& key, bool causedCrash, const std::string& node, const ClockReading& now);
     void processRunningTasks(ExecutorView& node, const NodeReport& report, const ClockReading& now);
+    void recordAtWork(ManagedWorkload& job, const RunKey& key, LiveRun& run);
     void releaseUnlistedRuns(ExecutorView& node, const NodeReport& report);
     void recordDuration(ManagedWorkload& job, const RunKey& key, const LiveRun& run, const ClockReading& now);
     [[nodiscard]] DurationForecast forecastOf(const ManagedWorkload& job, const StepSpec& step) const;
@@ -359,7 +345,6 @@
     Counter& m_endsWithoutRun;
     Counter& m_reportsIgnored;
     Counter& m_crashesAttributed;
-    Counter& m_lossesExplained;
     Counter& m_runsEvicted;
     Counter& m_runsStalled;
     Counter& m_runsMoved;
--- a/src/lycheespool/controller/controller_jobs.cpp
+++ b/src/lycheespool/controller/controller_jobs.cpp
@@ -34,7 +34,6 @@
     , m_endsWithoutRun { metrics.counter("ends_without_run_total") }
     , m_reportsIgnored { metrics.counter("node_reports_ignored_total") }
     , m_crashesAttributed { metrics.counter("crashes_attributed_total") }
-    , m_lossesExplained { metrics.counter("losses_explained_by_restarts_total") }
     , m_runsEvicted { metrics.counter("runs_evicted_total") }
     , m_runsStalled { metrics.counter("runs_stalled_total") }
     , m_runsMoved { metrics.counter("runs_moved_total") }
@@ -106,6 +105,7 @@
             run.phase = RunPhase::ordered;
             run.possibleStarts = 1;
             run.isPartial = true;
+            run.wasAtWork = it.wasAtWork;
             run.charged = steps[position.step].charged();
             run.orderedAt = now;
             if (isEnded(job.progress.state))
--- a/src/lycheespool/controller/controller_planning.cpp
+++ b/src/lycheespool/controller/controller_planning.cpp
@@ -463,7 +463,7 @@
         task.setLastRun(spec.isGang ? gangRun : task.lastRun + 1);
         if (spec.isGang)
             task.checkpoint = gangCheckpoint;
-        task.placements.push_back({ node.lifetime, node.node, task.lastRun });
+        task.placements.push_back({ node.lifetime, node.node, task.lastRun, false });
         LiveRun run;
         run.lifetime = node.lifetime;
         run.node = node.node;
--- a/src/lycheespool/controller/controller_runs.cpp
+++ b/src/lycheespool/controller/controller_runs.cpp
@@ -15,8 +15,6 @@
 
 // Number of ends from which a list of an agent that does not state its extent may omit later ends.
 constexpr std::size_t endsOfFullList = 500;
-// VMs that lose power together are back within this time of each other.
-constexpr auto commonRestartWindow = std::chrono::seconds { 2 };
 constexpr auto startWindowMs = static_cast<std::uint64_t>(CrashLimits::startWindow.count());
 
 constexpr std::string_view endName(RunEndKind kind)
@@ -133,76 +131,21 @@
 /*! @brief Makes the reported lifetime the present one of its node, and releases runs that have ended before it. */
 void Controller::adoptLifetime(ExecutorView& node, const NodeReport& report, const ClockReading& now)
 {
-    // Both times are of the clock of this VM, which may differ from the leader's.
-    const std::chrono::milliseconds age { static_cast<std::int64_t>(report.sentAtMs) - report.lifetime.startedUnixMs };
-    ExecutorView next;
-    next.node = report.node;
-    next.zone = report.zone;
-    next.lifetime = report.lifetime;
-    next.permitsExpireAt = node.permitsExpireAt;
-    next.startedAt = now.steady - std::max(age, std::chrono::milliseconds { 0 });
     const auto hasEnded = [&](const Lifetime& it) { return showsEndOf(it, report); };
-    const auto lost = releaseLostRuns(
-        report.node, hasEnded, "the node reports a new lifetime of its executor", now, &report, next.startedAt);
+    releaseLostRuns(report.node, hasEnded, "the node reports a new lifetime of its executor", now, &report);
     for (const auto& key : node.expiredRuns) {
         auto* const job = findJob(key.task.job);
         if (job && node.lifetime == report.previousLifetime)
             recordLoss(*job, key, false, report.node, now);
     }
-    const bool hasEndedExecutor = node.lifetime.isKnown() || !lost.jobs.empty();
-    if (!report.previousLifetime.isKnown() && hasEndedExecutor)
-        next.restart = lost;
-    node = std::move(next);
+    const auto permitsExpireAt = node.permitsExpireAt;
+    node = ExecutorView {};
+    node.node = report.node;
+    node.permitsExpireAt = permitsExpireAt;
+    node.lifetime = report.lifetime;
     logEvent("executor_found",
         { { "node", report.node }, { "executor", report.lifetime.executor }, { "born", report.lifetime.startedUnixMs },
-            { "zone", report.zone }, { "state", executorStateName(report.state) },
-            { "vm_restarted", node.restart.has_value() } });
-    if (node.restart)
-        withdrawExplainedLosses(node);
-}
-
-/*! @brief Compares the start of an executor with those of the other executors of its zone. */
-Controller::CommonRestarts Controller::commonRestarts(
-    const std::string& node, const std::string& zone, TimePoint startedAt, const std::string& job) const
-{
-    CommonRestarts common;
-    const RunKey first { { job, {} }, 0 };
-    std::set<std::string> nodesOfJob;
-    for (auto it = m_runs.lower_bound(first); it != m_runs.end() && it->first.task.job == job; ++it)
-        nodesOfJob.insert(it->second.node);
-    for (const auto& [name, other] : m_nodes) {
-        if (name == node || other.zone != zone)
-            continue;
-        const auto apart = other.startedAt - startedAt;
-        if (apart < -commonRestartWindow)
-            common.survived += other.lastReportAt > startedAt;
-        else if (other.restart && apart <= commonRestartWindow)
-            common.restarted += !other.restart->jobs.contains(job) && !nodesOfJob.contains(name);
-    }
-    return common;
-}
-
-/*! @brief Withdraws losses that were counted before the restart of another VM showed that they have a common cause. */
-void Controller::withdrawExplainedLosses(const ExecutorView& node)
-{
-    for (auto& [name, other] : m_nodes) {
-        if (!other.restart || other.zone != node.zone)
-            continue;
-        std::erase_if(other.restart->losses, [&](const auto& key) {
-            auto* const job = findJob(key.task.job);
-            if (!job || isEnded(job->progress.state)
-                || !commonRestarts(name, other.zone, other.startedAt, key.task.job).haveCommonCause())
-                return false;
-            auto& task = job->progress.at(key.task.position);
-            task.losses -= std::min(task.losses, 1U);
-            markChanged(*job);
-            m_lossesExplained.add();
-            logEvent("loss_withdrawn",
-                { { "task", key.task.toString() }, { "run", key.run }, { "node", name },
-                    { "restarted_with", node.node }, { "losses", task.losses }, { "epoch", m_epoch.value() } });
-            return true;
-        });
-    }
+            { "zone", report.zone }, { "state", executorStateName(report.state) } });
 }
 
 void Controller::processRunningTasks(ExecutorView& node, const NodeReport& report, const ClockReading& now)
@@ -231,6 +174,8 @@
             run.answeredAtMs = report.listedAtMs;
         }
         run.lastListedMs = report.listedAtMs;
+        if (job && !run.wasAtWork && run.lastListedMs >= run.answeredAtMs + startWindowMs)
+            recordAtWork(*job, key, run);
         if (it.percent != run.percent || run.percentListedMs == 0) {
             run.percent = it.percent;
             run.percentListedMs = report.listedAtMs;
@@ -252,6 +197,18 @@
     node.unknownRuns = std::move(unknownRuns);
 }
 
+/*! @brief Records that a run has outlasted its start; stored, so that a later leader knows it as well. */
+void Controller::recordAtWork(ManagedWorkload& job, const RunKey& key, LiveRun& run)
+{
+    run.wasAtWork = true;
+    auto& placements = job.progress.at(key.task.position).placements;
+    const auto it = std::ranges::find(placements, key.run, &RunPlacement::run);
+    if (it == placements.end())
+        return;
+    it->wasAtWork = true;
+    markChanged(job);
+}
+
 /*! @brief Releases runs that the executor had and that a later list no longer contains. */
 void Controller::releaseUnlistedRuns(ExecutorView& node, const NodeReport& report)
 {
@@ -462,17 +419,15 @@
 
 /*! @brief Releases all runs of a node whose executor lifetimes have ended. */
 template <std::predicate<const Lifetime&> HasEnded>
-ExecutorView::VmRestart Controller::releaseLostRuns(const std::string& node, const HasEnded& hasEnded,
-    const std::string& reason, const ClockReading& now, const NodeReport* report, TimePoint startedAt)
+void Controller::releaseLostRuns(const std::string& node, const HasEnded& hasEnded, const std::string& reason,
+    const ClockReading& now, const NodeReport* report)
 {
-    ExecutorView::VmRestart restart;
     std::vector<RunKey> lost;
     std::set<std::string> startingJobs;
     for (const auto& [key, run] : m_runs) {
         if (run.node != node || !hasEnded(run.lifetime))
             continue;
         lost.push_back(key);
-        restart.jobs.insert(key.task.job);
         if (hasJustStarted(run, report))
             startingJobs.insert(key.task.job);
     }
@@ -480,15 +435,9 @@
     const bool isPlanned = state == ExecutorState::draining || state == ExecutorState::departed;
     for (const auto& key : lost) {
         const auto it = m_runs.find(key);
-        const auto& run = it->second;
         m_runsLost.add();
-        const bool mayCount = !isPlanned && countsAsLoss(run, report, startingJobs.size());
-        const bool isWitnessed = report && report->previousLifetime.isKnown();
-        const auto common = mayCount && !isWitnessed ? commonRestarts(node, report->zone, startedAt, key.task.job)
-                                                     : CommonRestarts {};
-        const bool isLoss = mayCount && !common.haveCommonCause();
-        if (mayCount && !isLoss)
-            m_lossesExplained.add();
+        const bool isLoss = !isPlanned && countsAsLoss(it->second, report, startingJobs.size());
+        const auto& run = it->second;
         // A start without an answer may have been sent to an executor that had crashed before.
         const bool causedCrash
             = startingJobs.size() == 1 && run.phase == RunPhase::confirmed && hasJustStarted(run, report);
@@ -496,21 +445,18 @@
             { { "task", key.task.toString() }, { "run", key.run }, { "node", node },
                 { "executor", run.lifetime.executor }, { "reason", reason }, { "caused_crash", causedCrash },
                 { "may_have_begun", run.mayHaveBegun() }, { "jobs_starting", startingJobs.size() },
-                { "counted", isLoss }, { "witnessed", isWitnessed }, { "restarted_beside", common.restarted },
-                { "survived_beside", common.survived }, { "planned_in_term", run.plannedRevision > 0 },
+                { "counted", isLoss }, { "witnessed", report && run.lifetime == report->previousLifetime },
+                { "was_at_work", run.wasAtWork }, { "planned_in_term", run.plannedRevision > 0 },
                 { "listed_ms", run.lastListedMs }, { "answered_ms", run.answeredAtMs } });
         releaseRun(it);
         auto* const job = findJob(key.task.job);
         if (!job)
             continue;
-        if (isLoss) {
+        if (isLoss)
             recordLoss(*job, key, causedCrash, node, now);
-            restart.losses.push_back(key);
-        }
         if (job->row.request.steps[key.task.position.step].isGang)
             stopGangOf(*job, key.task.position, key.run, "a member of the gang was lost");
     }
-    return restart;
 }
 
 /*! @brief Checks if the end of an executor's lifetime counts against a run that was placed there. */
@@ -519,11 +465,9 @@
     // Without a report of a newer lifetime the executor may have been cut off and still run.
     if (!report || !run.mayHaveBegun())
         return false;
-    // A run that was listed after its start window has not crashed its executor by starting.
-    const bool wasAtWork = run.phase == RunPhase::confirmed && run.lastListedMs >= run.answeredAtMs + startWindowMs;
     // A crash that the agent witnessed and no start explains counts for all that ran there.
     const bool isUnexplained = startingJobs == 0 && run.lifetime == report->previousLifetime;
-    return !wasAtWork || isUnexplained;
+    return !run.wasAtWork || isUnexplained;
 }
 
 /*! @brief Checks if a run may have been starting when its executor crashed, as its agent witnessed. */
--- a/src/lycheespool/controller/executor_view.h
+++ b/src/lycheespool/controller/executor_view.h
@@ -9,7 +9,6 @@
 #include <optional>
 #include <set>
 #include <string>
-#include <vector>
 
 namespace lycheespool {
 
@@ -29,14 +28,6 @@
         TimePoint orderedAt { neverOrdered };
     };
 
-    /*! @brief Runs that ended when the VM restarted: its agent knows no lifetime before the present one. */
-    struct VmRestart {
-        /*! @brief Jobs that lost runs with it. */
-        std::set<std::string> jobs;
-        /*! @brief Runs whose loss was counted. */
-        std::vector<RunKey> losses;
-    };
-
     std::string node;
     std::string zone;
     std::string rack;
@@ -46,10 +37,6 @@
     std::vector<std::string> labels;
     ResourceVector capacity;
     TimePoint lastReportAt {};
-    /*! @brief Start of the executor on the leader's clock, by its age on the clock of its VM. */
-    TimePoint startedAt {};
-    /*! @brief Nothing unless the start of the executor followed a restart of its VM that ended an earlier one. */
-    std::optional<VmRestart> restart;
     /*! @brief While draining: earliest departure of the executor; nothing if it has not announced one. */
     std::optional<TimePoint> earliestDeparture;
     /*! @brief Time after which all permits granted to the agent have expired. */
--- a/src/lycheespool/controller/live_run.h
+++ b/src/lycheespool/controller/live_run.h
@@ -57,6 +57,8 @@
     std::uint64_t percentListedMs { 0 };
     /*! @brief Agent's clock of the latest list that showed the run, ms; 0 before the first list. */
     std::uint64_t lastListedMs { 0 };
+    /*! @brief A list has shown the run after its start window, in this term or before. */
+    bool wasAtWork { false };
     std::string checkpoint;
     /*! @brief The run resumed from a checkpoint or started under another leader, so its measured time is not the run
      * time of the task. */
--- a/src/lycheespool/workload/job_progress.cpp
+++ b/src/lycheespool/workload/job_progress.cpp
@@ -108,7 +108,7 @@
     task.failedRuns = std::numeric_limits<std::uint64_t>::max();
     task.checkpoint.resize(checkpointBytes);
     task.placements.push_back({ { std::string(executorBytes, ' '), std::numeric_limits<std::int64_t>::max() },
-        std::string(nodeBytes, ' '), maxCount });
+        std::string(nodeBytes, ' '), maxCount, true });
     return packValue(stored).size();
 }
 
--- a/src/lycheespool/workload/job_progress.h
+++ b/src/lycheespool/workload/job_progress.h
@@ -31,7 +31,9 @@
     /*! @brief Node whose agent forwards orders to the executor. */
     std::string node;
     std::uint64_t run { 0 };
-    MSGPACK_DEFINE(lifetime, node, run)
+    /*! @brief A list has shown the run after its start window, so it has not crashed its executor by starting. */
+    bool wasAtWork { false };
+    MSGPACK_DEFINE(lifetime, node, run, wasAtWork)
 };
 
 /*! @brief Progress of one task. */
