--- a/test/lycheespool/workload/job_model.cpp
+++ b/test/lycheespool/workload/job_model.cpp
@@ -141,3 +141,31 @@
     });
     CHECK(progress.encode("r-3ajwyy7", "kaje80").size() < 64 * 1024);
 }
+
+// Guards against a failure that is counted twice, or whose run is forgotten, after later starts and a change of the
+// leader.
+TEST_CASE("a task names the failed ones of its last 64 runs")
+{
+    JobRequest request;
+    request.steps.emplace_back().tasks = 1;
+    JobProgress progress { request };
+    auto& task = progress.at({ 0, 0, 0 });
+    task.setLastRun(1);
+    CHECK(task.knowsFailedRuns());
+    CHECK_FALSE(task.isFailureCounted(1));
+    task.countFailure(1);
+    task.setLastRun(3);
+    task.placements.push_back({ { "executor", 1 }, "node", 3, true });
+    const auto stored = JobProgress::decode(request, progress.encode("queue", ""));
+    const auto& read = stored.at({ 0, 0, 0 });
+    CHECK(read.isFailureCounted(1));
+    CHECK_FALSE(read.isFailureCounted(2));
+    CHECK(read.knowsFailedRuns());
+    CHECK(read.placements.at(0).wasAtWork);
+    task.setLastRun(64);
+    CHECK(task.isFailureCounted(1));
+    task.setLastRun(65);
+    CHECK(task.isFailureCounted(1));
+    CHECK_FALSE(task.isFailureCounted(2));
+    CHECK_FALSE(task.knowsFailedRuns());
+}
