Count no loss for a run whose end was listed

Callers would see: a job shown as failed although its tasks were done or had attempts left.

Cause: the end of a run that was released when its permits expired is applied now, but the run stayed in the list of those whose loss counts if the executor turns out to have crashed. A task that was done could also still be charged.

Change: an applied end takes its run off that list, and a task that is done has no losses.

--- a/src/lycheespool/controller/controller_runs.cpp
+++ b/src/lycheespool/controller/controller_runs.cpp
@@ -242,18 +242,20 @@
     const auto name = parseTaskName(end.task);
     auto* const job = name ? findJob(name->job) : nullptr;
     const auto* const task = job ? job->progress.find(name->position) : nullptr;
-    if (!task || end.run == 0 || end.run > task->lastRun) {
+    // A row does not keep the runs of a task that is done.
+    if (!task || end.run == 0 || (end.run > task->lastRun && !task->done)) {
         m_endsWithoutRun.add();
         logEvent("end_without_run",
             { { "task", end.task }, { "run", end.run }, { "how", endName(end.kind) }, { "node", node.node },
                 { "executor", node.lifetime.executor }, { "number", end.number }, { "job_known", job != nullptr },
                 { "epoch", m_epoch.value() } });
-        node.pendingEnds.push_back({ end.number, {}, 0 });
+        node.pendingEnds.push_back({ end.number, job ? job->id : std::string {}, job ? job->revision : 0 });
         return;
     }
     const RunKey key { *name, end.run };
     const auto it = m_runs.find(key);
     const bool isLive = it != m_runs.end() && it->second.lifetime == node.lifetime;
+    node.expiredRuns.erase(key);
     logEvent("run_ended",
         { { "task", end.task }, { "run", end.run }, { "how", endName(end.kind) }, { "node", node.node },
             { "executor", node.lifetime.executor }, { "number", end.number },
@@ -486,9 +488,9 @@
 {
     const auto& position = key.task.position;
     const auto& step = job.row.request.steps[position.step];
-    if (step.isService || isEnded(job.progress.state))
-        return;
     auto& task = job.progress.at(position);
+    if (step.isService || task.done || isEnded(job.progress.state))
+        return;
     ++task.losses;
     if (causedCrash) {
         ++task.crashes;
--- a/test/lycheespool/controller/released_runs.cpp
+++ b/test/lycheespool/controller/released_runs.cpp
@@ -199,3 +199,30 @@
     CHECK(f.controller.nodes().at("node-0").unknownRuns.empty());
     CHECK(f.controller.takeOrders(ControllerFixture::at(releasedMs + 100)).empty());
 }
+
+// Guards against a run that spends an attempt and counts as a loss as well, until a sound job is given up (LOST).
+TEST_CASE("a released run whose end was listed is no loss when its executor crashes later")
+{
+    ReleasedRunFixture f { ControllerFixture::job() };
+    auto list = f.listed(RunEndKind::failed, releasedMs + 100);
+    list.extendsLease = false;
+    f.receive(list, releasedMs + 100);
+    CHECK(f.progress().at({ 0, 0, 0 }).failures == 1);
+    f.crash(f.report(0), releasedMs + 200, releasedMs + 3000);
+    CHECK(f.progress().at({ 0, 0, 0 }).losses == 0);
+}
+
+// Guards against a warning for each end that an earlier leader has applied.
+TEST_CASE("an end of a task that an earlier leader completed fits its task")
+{
+    auto row = ControllerFixture::job(2);
+    ReleasedRunFixture f { row };
+    auto list = f.listed(RunEndKind::done, releasedMs + 100);
+    list.ended.resize(1);
+    f.receive(list, releasedMs + 100);
+    REQUIRE(f.progress().state == WorkloadState::running);
+    auto successor = f.successor(releasedMs + 200);
+    successor.onReport(list, ControllerFixture::at(releasedMs + 300));
+    CHECK(f.metrics.counter("ends_without_run_total").value() == 0);
+    CHECK(successor.endsStored("node-0", list.lifetime) == 1);
+}
