Explain three comments on the ends of released runs

Cause: the closing read found two comments that assume knowledge of the progress row, and two members that both name failed runs without saying why.

Change: comments only. Not built or tested again.

--- a/src/lycheespool/controller/controller_runs.cpp
+++ b/src/lycheespool/controller/controller_runs.cpp
@@ -242,7 +242,7 @@
     const auto name = parseTaskName(end.task);
     auto* const job = name ? findJob(name->job) : nullptr;
     const auto* const task = job ? job->progress.find(name->position) : nullptr;
-    // A row does not keep the runs of a task that is done.
+    // The row of a task that is done names no latest run, so lastRun may be 0 under a later leader.
     if (!task || end.run == 0 || (end.run > task->lastRun && !task->done)) {
         m_endsWithoutRun.add();
         logEvent("end_without_run",
@@ -318,7 +318,7 @@
         recordCheckpoint(job, key, end.checkpoint);
         markChanged(job);
     }
-    // A list repeats an end that an earlier leader has counted.
+    // An end that an earlier leader has counted is listed again until it is acknowledged.
     if (end.kind == RunEndKind::failed && !isFailureCounted(job, key) && knowsFailedRuns(job, position)) {
         LiveRun run;
         run.lifetime = node.lifetime;
--- a/src/lycheespool/workload/job_progress.h
+++ b/src/lycheespool/workload/job_progress.h
@@ -48,7 +48,7 @@
     std::uint32_t crashes { 0 };
     /*! @brief Lifetimes of executors that ended under a run of the task; see CrashCounts. */
     std::uint32_t losses { 0 };
-    /*! @brief Run of the latest counted failure of a gang member; 0 for none. */
+    /*! @brief Run of the latest counted failure of a gang member, for rows without failedRuns; 0 for none. */
     std::uint64_t lastFailedRun { 0 };
     /*! @brief Runs whose failure is counted: bit n stands for the run lastRun - n. */
     std::uint64_t failedRuns { 0 };
