--- a/review/standin-2/executor.h
+++ b/review/standin-2/executor.h
@@ -84,8 +84,7 @@
             return answer(409, "fence");
         m_token = token;
         if (const auto it = body.find("deadlineMs"); it != body.end())
-            m_leaseEndMs = std::max(
-                m_leaseEndMs, std::min(it->get<std::int64_t>(), clockMs() + m_options.maxHoldMs));
+            m_leaseEndMs = std::max(m_leaseEndMs, std::min(it->get<std::int64_t>(), clockMs() + m_options.maxHoldMs));
         if (request.path == "/v1/run-start")
             return start(body);
         if (request.path == "/v1/run-stop")
@@ -193,8 +192,7 @@
             const Json body { { "service", m_options.service }, { "addr", m_options.listen },
                 { "zone", m_options.zone }, { "version", "v1" }, { "slots", 8 }, { "state", "ready" },
                 { "coldRemainingMs", 0 },
-                { "capacity",
-                    { { "cpu", m_options.cpu }, { "memMb", m_options.memMb }, { "gpu", m_options.gpu } } },
+                { "capacity", { { "cpu", m_options.cpu }, { "memMb", m_options.memMb }, { "gpu", m_options.gpu } } },
                 { "labels", m_options.labels }, { "clockMs", clockMs() }, { "born", m_born }, { "seq", sequence } };
             (void)call(m_options.agent, "POST", "/v1/instances/" + m_options.id + "/heartbeat",
                 "Host: agent\r\nContent-Type: application/json\r\n", body.dump(), 1000);
--- a/review/standin-2/http.h
+++ b/review/standin-2/http.h
@@ -240,8 +240,8 @@
     std::string line;
     Request message;
     const bool isAnswered = sendAll(fd,
-                                method + " " + path + " HTTP/1.1\r\n" + headers + "Content-Length: "
-                                    + std::to_string(body.size()) + "\r\n\r\n" + body)
+                                method + " " + path + " HTTP/1.1\r\n" + headers
+                                    + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body)
         && readMessage(fd, buf, line, message, timeoutMs);
     close(fd);
     if (!isAnswered)
