--- a/review/standin-2/executor.h
+++ b/review/standin-2/executor.h
@@ -1,6 +1,6 @@
 // Stand-in for one executor: run-start, run-stop, hold and pings as PROTOCOL.md has them. The text `spec` of a job says
-// how long a task works, and "lasts" marks a task of a long-running step, which fails by itself after that time:
-// "work=MS" or "work=MS lasts".
+// how long a task works: "work=MS". With "lasts" it is a task of a long-running step, which fails by itself after that
+// time; with "saves" it checkpoints its progress each 2 s of work and at a stop.
 #pragma once
 
 #include "record.h"
@@ -60,8 +60,33 @@
         std::int64_t stopsMs { 0 };
         std::string checkpoint;
         bool lasts { false };
+        bool saves { false };
+        /*! @brief Work that the checkpoint of an earlier run has saved, ms. */
+        std::int64_t resumedMs { 0 };
     };
 
+    static constexpr std::int64_t checkpointMs = 2000;
+    static constexpr std::int64_t restoreMs = 250;
+
+    static std::int64_t doneMs(const Run& run)
+    {
+        const auto worked = steadyMs() - run.startedMs - (run.resumedMs > 0 ? restoreMs : 0);
+        return std::min(run.workMs, run.resumedMs + std::max<std::int64_t>(0, worked));
+    }
+
+    static std::int64_t savedMs(const Run& run)
+    {
+        return run.checkpoint.empty() ? 0 : std::stoll(run.checkpoint, nullptr, 16);
+    }
+
+    /*! @brief Names of checkpoints begin with the work that they hold. */
+    static void save(Run& run)
+    {
+        char text[32];
+        std::snprintf(text, sizeof text, "%016llx", static_cast<unsigned long long>(doneMs(run)));
+        run.checkpoint = text;
+    }
+
     std::int64_t clockMs() const { return 1000 + steadyMs() - m_startedMs; }
 
     Response answer(int status, const char* reason = nullptr) const
@@ -117,9 +142,12 @@
         const auto spec = body.value("spec", std::string {});
         run.workMs = std::stoll(spec.substr(spec.find('=') + 1));
         run.lasts = spec.find("lasts") != std::string::npos;
+        run.saves = spec.find("saves") != std::string::npos;
         run.checkpoint = body.value("lastCheckpoint", std::string {});
+        if (!run.checkpoint.empty())
+            run.resumedMs = std::stoll(run.checkpoint, nullptr, 16);
         m_runs[task] = run;
-        note("start", task, number);
+        note("start", task, number, " resumed=" + std::to_string(run.resumedMs));
         return answer(200);
     }
 
@@ -130,8 +158,11 @@
         const auto known = m_runs.find(task);
         if (known == m_runs.end())
             m_highest[task] = std::max(m_highest[task], number);
-        else if (known->second.number <= number && known->second.stopsMs == 0)
+        else if (known->second.number <= number && known->second.stopsMs == 0) {
             known->second.stopsMs = steadyMs() + m_options.stopMs;
+            if (known->second.saves)
+                save(known->second);
+        }
         return answer(200);
     }
 
@@ -150,8 +181,7 @@
         }
         Json running = Json::array();
         for (const auto& [task, run] : m_runs) {
-            const auto percent
-                = run.lasts ? 100 : std::min<std::int64_t>(100, 100 * (steadyMs() - run.startedMs) / run.workMs);
+            const auto percent = run.lasts ? 100 : 100 * doneMs(run) / run.workMs;
             running.push_back({ task, run.number, run.checkpoint, percent });
         }
         Json ended = Json::array();
@@ -167,13 +197,15 @@
         const auto now = steadyMs();
         const bool hasLapsed = clockMs() >= m_leaseEndMs;
         for (auto it = m_runs.begin(); it != m_runs.end();) {
-            const auto& run = it->second;
+            auto& run = it->second;
             const char* how = nullptr;
+            if (run.saves && run.stopsMs == 0 && doneMs(run) / checkpointMs > savedMs(run) / checkpointMs)
+                save(run);
             if (hasLapsed)
                 how = "lapsed";
             else if (run.stopsMs > 0 && now >= run.stopsMs)
                 how = "stopped";
-            else if (run.stopsMs == 0 && now >= run.startedMs + run.workMs)
+            else if (run.stopsMs == 0 && doneMs(run) >= run.workMs)
                 how = run.lasts ? "failed" : "done";
             if (!how) {
                 ++it;
