--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,5 @@
 set -e
 cd "$(dirname "$0")/standin-2"
 mkdir -p ../../target
-g++ -std=c++20 -O1 -Wall -Wextra -pthread main.cpp -o ../../target/review-standin-2
+g++ -std=c++20 -O1 -Wall -Wextra -pthread main.cpp -o ../../target/review-standin-2.new
+mv ../../target/review-standin-2.new ../../target/review-standin-2
--- a/review/standin-2/executor.h
+++ b/review/standin-2/executor.h
@@ -1,6 +1,7 @@
 // Stand-in for one executor: run-start, run-stop, hold and pings as PROTOCOL.md has them. The text `spec` of a job says
 // how long a task works: "work=MS". With "lasts" it is a task of a long-running step, which fails by itself after that
-// time; with "saves" it checkpoints its progress each 2 s of work and at a stop.
+// time; with "saves" it checkpoints its progress each 2 s of work and at a stop; with "crashes" its
+// executor ends at that time.
 #pragma once
 
 #include "record.h"
@@ -61,6 +62,7 @@
         std::string checkpoint;
         bool lasts { false };
         bool saves { false };
+        bool crashes { false };
         /*! @brief Work that the checkpoint of an earlier run has saved, ms. */
         std::int64_t resumedMs { 0 };
     };
@@ -143,6 +145,7 @@
         run.workMs = std::stoll(spec.substr(spec.find('=') + 1));
         run.lasts = spec.find("lasts") != std::string::npos;
         run.saves = spec.find("saves") != std::string::npos;
+        run.crashes = spec.find("crashes") != std::string::npos;
         run.checkpoint = body.value("lastCheckpoint", std::string {});
         if (!run.checkpoint.empty())
             run.resumedMs = std::stoll(run.checkpoint, nullptr, 16);
@@ -198,6 +201,10 @@
         const bool hasLapsed = clockMs() >= m_leaseEndMs;
         for (auto it = m_runs.begin(); it != m_runs.end();) {
             auto& run = it->second;
+            if (run.crashes && now >= run.startedMs + run.workMs) {
+                record("crash " + m_options.name + " under " + it->first);
+                std::_Exit(1);
+            }
             const char* how = nullptr;
             if (run.saves && run.stopsMs == 0 && doneMs(run) / checkpointMs > savedMs(run) / checkpointMs)
                 save(run);
