--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -10,10 +10,14 @@
 launch proxy "$standin" proxy --pairs "$net.41:9000=$net.41:8080,$net.41:9001=$net.41:8526"
 proxy=$started
 start_agent node-a 41 za "$net.41:9000"
-start_agent node-b 42 zb "$net.42:8080"
 start_executor a i-00000000000a "$net.41:8080" "$net.41:9001" za a,r1 4000
 executor=$started
-start_executor b i-00000000000b "$net.42:8080" "$net.42:8526" zb a,r2 64000
+host=42
+for it in b c d e f; do
+    start_agent "node-$it" $host zb "$net.$host:8080"
+    start_executor "$it" "i-00000000000$it" "$net.$host:8080" "$net.$host:8526" zb a,r2 64000
+    host=$((host + 1))
+done
 wait_ready
 sleep 4
 
