--- a/src/lycheespool/cli/role_node_agent.cpp
+++ b/src/lycheespool/cli/role_node_agent.cpp
@@ -10,6 +10,7 @@
 #include "lycheespool/core/event_log.h"
 #include "lycheespool/net/http_server.h"
 #include "lycheespool/nodeagent/node_agent.h"
+#include "lycheespool/nodeagent/verified_connections.h"
 
 namespace lycheespool {
 
@@ -18,7 +19,8 @@
 // Drain timeout for calls from the executor that are in flight at a planned stop.
 constexpr Duration drainTime = std::chrono::milliseconds { 500 };
 
-using Agent = NodeAgent<platform::StoreClient, platform::ExecutorClient>;
+using Connections = VerifiedConnections<platform::ExecutorClient>;
+using Agent = NodeAgent<platform::StoreClient, Connections>;
 
 HttpResponse renderMetrics(const Metrics& metrics)
 {
@@ -48,7 +50,8 @@
         // One thread: the VM has a fraction of a core, and the state needs no locks.
         IoPool pool { 1 };
         platform::StoreClient store { settings.store, metrics };
-        platform::ExecutorClient executor { *settings.executor };
+        platform::ExecutorClient client { *settings.executor };
+        Connections executor { client, metrics };
         const auto agent
             = std::make_shared<Agent>(pool.context().get_executor(), settings, store, executor, RowNames {}, metrics);
         const platform::ExecutorEvents events {
--- a/src/lycheespool/nodeagent/executor_control.h
+++ b/src/lycheespool/nodeagent/executor_control.h
@@ -6,6 +6,7 @@
 
 #include <concepts>
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -110,4 +111,33 @@
         } -> std::same_as<Awaitable<HoldAnswer>>;
 };
 
+/**
+ * @brief Connection to the executor on the same VM that never reconnects, so one process answers all its calls; no call
+ * throws.
+ *
+ * - `start`, `stop` and `hold` as in ExecutorControl.
+ * - `isOpen()` returns false after an unanswered call, or if the executor ended the connection.
+ */
+template <typename Type>
+concept ExecutorConnection = ExecutorControl<Type> && requires(const Type& connection)
+{
+    {
+        connection.isOpen()
+        } -> std::same_as<bool>;
+};
+
+/**
+ * @brief Opens connections to the executor on the same VM; no call throws.
+ *
+ * - `Connection` is a model of ExecutorConnection.
+ * - `connect(timeout)` returns a connection, or null if none was made within the timeout.
+ */
+template <typename Type>
+concept ExecutorTransport = ExecutorConnection<typename Type::Connection> && requires(Type& transport, Duration timeout)
+{
+    {
+        transport.connect(timeout)
+        } -> std::same_as<Awaitable<std::unique_ptr<typename Type::Connection>>>;
+};
+
 }
--- a/src/lycheespool/nodeagent/fwd.h
+++ b/src/lycheespool/nodeagent/fwd.h
@@ -6,5 +6,6 @@
 struct ExecutorAnswer;
 struct HoldRequest;
 struct RunStart;
+struct RunStop;
 
 }
--- /dev/null
+++ b/src/lycheespool/nodeagent/verified_connections.h
@@ -0,0 +1,191 @@
+#pragma once
+
+#include "lycheespool/core/event_log.h"
+#include "lycheespool/core/metrics.h"
+#include "lycheespool/nodeagent/executor_control.h"
+
+#include <nlohmann/json.hpp>
+
+#include <memory>
+#include <utility>
+#include <vector>
+
+namespace lycheespool {
+
+/**
+ * @brief Sends each call over a connection to the executor lifetime that the call names; a model of ExecutorControl.
+ *
+ * An executor may restart under its id, so the id does not tell two lifetimes apart. A start, an acknowledgement of
+ * ends or a lease that reaches a later lifetime has an effect there before its answer shows the mistake. A connection
+ * ends with the process that accepted it. The first call on each connection therefore asks which lifetime answers, and
+ * has no effect on any. Only a connection to the expected lifetime carries the call.
+ *
+ * Single-threaded.
+ *
+ * @tparam Transport Model of ExecutorTransport.
+ */
+template <ExecutorTransport Transport>
+class VerifiedConnections {
+public:
+    using Connection = typename Transport::Connection;
+
+    /*! @brief Maximum number of idle connections. */
+    static constexpr std::size_t maxIdleConnections = 64;
+
+    /**
+     * @brief Constructs an object without connections.
+     * @param transport Opens the connections; must outlive the object.
+     * @param metrics Metrics registry.
+     */
+    VerifiedConnections(Transport& transport, Metrics& metrics)
+        : m_transport { transport }
+        , m_opened { metrics.counter("executor_connections_opened_total") }
+        , m_unverified { metrics.counter("executor_connections_unverified_total") }
+    {
+    }
+
+    /*! @brief Starts a run; see ExecutorControl. */
+    [[nodiscard]] Awaitable<ExecutorAnswer> start(RunStart start, Duration timeout)
+    {
+        const auto lifetime = start.lifetime;
+        auto verified = co_await acquire(lifetime, start.epoch, "start", timeout);
+        if (!verified.connection)
+            co_return std::move(verified.answer);
+        auto answer = co_await verified.connection->start(std::move(start), timeout);
+        release(lifetime, std::move(verified.connection), answer);
+        co_return answer;
+    }
+
+    /*! @brief Stops a run; see ExecutorControl. */
+    [[nodiscard]] Awaitable<ExecutorAnswer> stop(RunStop stop, Duration timeout)
+    {
+        const auto lifetime = stop.lifetime;
+        auto verified = co_await acquire(lifetime, stop.epoch, "stop", timeout);
+        if (!verified.connection)
+            co_return std::move(verified.answer);
+        auto answer = co_await verified.connection->stop(std::move(stop), timeout);
+        release(lifetime, std::move(verified.connection), answer);
+        co_return answer;
+    }
+
+    /*! @brief Extends the lease and reads the running and ended runs; see ExecutorControl. */
+    [[nodiscard]] Awaitable<HoldAnswer> hold(HoldRequest request, Duration timeout)
+    {
+        const auto lifetime = request.lifetime;
+        auto verified = co_await acquire(lifetime, request.epoch, "hold", timeout);
+        if (!verified.connection) {
+            HoldAnswer rejected;
+            rejected.answer = std::move(verified.answer);
+            co_return rejected;
+        }
+        auto answer = co_await verified.connection->hold(std::move(request), timeout);
+        release(lifetime, std::move(verified.connection), answer.answer);
+        co_return answer;
+    }
+
+private:
+    using ConnectionPtr = std::unique_ptr<Connection>;
+
+    /*! @brief A connection to the expected lifetime, or the answer of the call that cannot be sent. */
+    struct Verified {
+        ConnectionPtr connection;
+        ExecutorAnswer answer;
+    };
+
+    [[nodiscard]] static bool isOther(const Lifetime& lifetime, const ExecutorAnswer& answer)
+    {
+        return answer.startedUnixMs && *answer.startedUnixMs != lifetime.startedUnixMs;
+    }
+
+    /*! @brief Checks if an answer shows that the expected lifetime gave it. */
+    [[nodiscard]] static bool isFrom(const Lifetime& lifetime, const ExecutorAnswer& answer)
+    {
+        return answer.kind == ExecutorAnswerKind::accepted
+            && answer.startedUnixMs.value_or(0) == lifetime.startedUnixMs;
+    }
+
+    [[nodiscard]] Awaitable<Verified> acquire(
+        Lifetime lifetime, std::uint64_t epoch, const char* purpose, Duration timeout)
+    {
+        if (lifetime != m_lifetime) {
+            m_idle.clear();
+            m_lifetime = lifetime;
+        }
+        Verified verified;
+        if (!m_idle.empty()) {
+            verified.connection = std::move(m_idle.back());
+            m_idle.pop_back();
+            co_return verified;
+        }
+        auto connection = co_await m_transport.connect(timeout);
+        if (!connection) {
+            verified.answer.kind = ExecutorAnswerKind::unavailable;
+            verified.answer.reason = "cannot connect";
+            co_return verified;
+        }
+        m_opened.add();
+        // Without an acknowledgement, a lease and a wait, this call changes nothing at any lifetime.
+        HoldRequest request;
+        request.lifetime = lifetime;
+        request.epoch = epoch;
+        auto list = co_await connection->hold(std::move(request), timeout);
+        if (isFrom(lifetime, list.answer) && connection->isOpen()) {
+            verified.connection = std::move(connection);
+            co_return verified;
+        }
+        verified.answer = rejection(lifetime, std::move(list.answer));
+        m_unverified.add();
+        logEvent("executor_connection_unverified",
+            { { "executor", lifetime.executor }, { "born", lifetime.startedUnixMs },
+                { "answered_born", verified.answer.startedUnixMs.value_or(0) }, { "call", purpose },
+                { "kind", static_cast<int>(verified.answer.kind) }, { "reason", verified.answer.reason } });
+        co_return verified;
+    }
+
+    /*! @brief Returns the answer of a call that was not sent, since the lifetime of the connection is not the expected
+     * one or is unknown. */
+    [[nodiscard]] static ExecutorAnswer rejection(const Lifetime& lifetime, ExecutorAnswer answer)
+    {
+        if (answer.kind == ExecutorAnswerKind::wrongLifetime || answer.kind == ExecutorAnswerKind::refused)
+            return answer;
+        if (isOther(lifetime, answer)) {
+            answer.kind = ExecutorAnswerKind::wrongLifetime;
+            answer.reason = "another lifetime answers";
+            return answer;
+        }
+        if (answer.kind == ExecutorAnswerKind::accepted)
+            answer.reason
+                = isFrom(lifetime, answer) ? "the executor ended the connection" : "no lifetime in the answer";
+        // Whatever became of the question, the call itself was not executed.
+        answer.kind = ExecutorAnswerKind::unavailable;
+        return answer;
+    }
+
+    /*! @brief Keeps a connection for later calls, unless its call shows that connections have ended or fallen silent.
+     */
+    void release(const Lifetime& lifetime, ConnectionPtr connection, ExecutorAnswer& answer)
+    {
+        if (isOther(lifetime, answer)) {
+            // The call was executed by a lifetime that it did not name; its sender must not take that for success.
+            answer.kind = answer.kind == ExecutorAnswerKind::accepted ? ExecutorAnswerKind::unanswered : answer.kind;
+            answer.reason = "another lifetime answered";
+            m_idle.clear();
+            return;
+        }
+        if (answer.kind == ExecutorAnswerKind::unanswered) {
+            m_idle.clear();
+            return;
+        }
+        if (connection->isOpen() && lifetime == m_lifetime && m_idle.size() < maxIdleConnections)
+            m_idle.push_back(std::move(connection));
+    }
+
+    Transport& m_transport;
+    /*! @brief Lifetime of the idle connections. */
+    Lifetime m_lifetime;
+    std::vector<ConnectionPtr> m_idle;
+    Counter& m_opened;
+    Counter& m_unverified;
+};
+
+}
--- a/test/platform/executor_client.cpp
+++ b/test/platform/executor_client.cpp
@@ -10,6 +10,15 @@
 
 namespace {
 
+Awaitable<HoldAnswer> hold(ExecutorClient& client)
+{
+    const auto connection = co_await client.connect(std::chrono::seconds { 10 });
+    if (!connection)
+        co_return HoldAnswer {};
+    HoldRequest request;
+    co_return co_await connection->hold(std::move(request), std::chrono::seconds { 10 });
+}
+
 /*! @brief Returns how the client reads an answer of an executor. */
 HoldAnswer holdWith(const nlohmann::json& body)
 {
@@ -24,7 +33,7 @@
     // The client's connection uses the context and must end first.
     asio::io_context context;
     ExecutorClient client { server.address() };
-    auto answer = asio::co_spawn(context, client.hold({}, std::chrono::seconds { 10 }), asio::use_future);
+    auto answer = asio::co_spawn(context, hold(client), asio::use_future);
     context.run();
     pool.stop();
     return answer.get();
