controller: wait for later starts before a released end counts (TWICE)

What callers saw: a job was shown as completed, and one of its tasks was started again after that.

The job was completed and the end acknowledged at once, although the start of a later run was under way, and an executor may carry out a start seconds after it was sent. The stop arrived after that start. An acknowledged end is final, so the work was then done twice for certain.

Change: a finished task whose other runs may still begin (ordered, neither confirmed, withdrawn nor answered by a stop) holds back the completion of its job and the acknowledgement of the job's ends, until each such run has begun or cannot begin any more. A successor does the same with the runs of done tasks in the row, stops them, which it did not before, and completes a job whose tasks are all done. The same holds for a failed end that spends the last attempt (BUDGET). The wait ends when the stop is answered, and at the latest when the executor's lifetime or its permits end. Log events later_start_unsettled and later_start_settled; counter later_starts_unsettled_total.

The test of the gang expected the job to be completed while the start of one member had no answer, which is the fault. It now checks that the job is not completed then, and is once that start is confirmed.

--- a/src/lycheespool/controller/controller.h
+++ b/src/lycheespool/controller/controller.h
@@ -264,6 +264,9 @@
     void withdrawUnsentStart(Runs::iterator it, const std::string& reason, const ClockReading& now);
     void stopRun(const RunKey& key, const std::string& reason);
     void stopGangOf(ManagedWorkload& job, const TaskPosition& position, std::uint64_t run, const std::string& reason);
+    [[nodiscard]] bool mayStillBegin(const RunKey& key) const;
+    void awaitOtherStarts(ManagedWorkload& job, const TaskPosition& position, std::uint64_t run);
+    void settleStarts(const ClockReading& now);
     void recordCheckpoint(ManagedWorkload& job, const RunKey& key, const std::string& checkpoint);
     [[nodiscard]] static bool showsEndOf(const Lifetime& lifetime, const NodeReport& report);
     [[nodiscard]] static bool replacesExecutor(const ExecutorView& node, const NodeReport& report);
@@ -326,6 +329,8 @@
     std::set<std::string> m_zonesOutOfService;
     std::map<std::string, ManagedWorkload> m_jobs;
     Runs m_runs;
+    /*! @brief Jobs with unsettled starts, or whose completion has waited for some. */
+    std::set<std::string> m_unsettledJobs;
     std::map<std::string, ExecutorView> m_nodes;
     /*! @brief Longest executor id and node name among the nodes, bytes. */
     std::size_t m_maxExecutorBytes { 0 };
@@ -342,6 +347,7 @@
     Counter& m_runsFailedOnSuspects;
     Counter& m_runsLost;
     Counter& m_endsOfReleasedRuns;
+    Counter& m_startsUnsettled;
     Counter& m_endsWithoutRun;
     Counter& m_reportsIgnored;
     Counter& m_crashesAttributed;
--- a/src/lycheespool/controller/controller_jobs.cpp
+++ b/src/lycheespool/controller/controller_jobs.cpp
@@ -31,6 +31,7 @@
     , m_runsFailedOnSuspects { metrics.counter("runs_failed_on_suspects_total") }
     , m_runsLost { metrics.counter("runs_lost_total") }
     , m_endsOfReleasedRuns { metrics.counter("ends_of_released_runs_total") }
+    , m_startsUnsettled { metrics.counter("later_starts_unsettled_total") }
     , m_endsWithoutRun { metrics.counter("ends_without_run_total") }
     , m_reportsIgnored { metrics.counter("node_reports_ignored_total") }
     , m_crashesAttributed { metrics.counter("crashes_attributed_total") }
@@ -110,12 +111,21 @@
             run.orderedAt = now;
             if (isEnded(job.progress.state))
                 run.stopReason = "job has ended";
+            else if (task.done)
+                run.stopReason = "another run of the task is done";
             m_runs.emplace(key, std::move(run));
+            // The row does not tell which run is done, so each of them may still begin.
+            if (task.done)
+                job.unsettledStarts.insert(key);
             ++round.live;
         }
         if (!task.done && task.placements.empty())
             round.waiting.insert(position.index);
     });
+    // The previous leader may have ended while the completion waited for starts.
+    const bool isComplete = std::ranges::all_of(job.rounds, [](const auto& it) { return it.open == 0; });
+    if (!job.unsettledStarts.empty() || (isComplete && !isEnded(job.progress.state)))
+        m_unsettledJobs.insert(job.id);
 }
 
 void Controller::cancelJob(const std::string& id, const ClockReading& now)
@@ -142,7 +152,7 @@
 
 void Controller::completeIfDone(ManagedWorkload& job, const ClockReading& now)
 {
-    if (isEnded(job.progress.state))
+    if (isEnded(job.progress.state) || !job.unsettledStarts.empty())
         return;
     if (std::ranges::all_of(job.rounds, [](const auto& it) { return it.open == 0; }))
         endJob(job, WorkloadState::completed, "all tasks are done", now);
--- a/src/lycheespool/controller/controller_runs.cpp
+++ b/src/lycheespool/controller/controller_runs.cpp
@@ -325,10 +325,72 @@
         run.node = node.node;
         recordFailure(job, key, run, node, now);
     }
-    if (job.row.request.steps[position.step].isGang)
+    const auto& step = job.row.request.steps[position.step];
+    // The end may have spent the last attempt while a start of a later run was under way.
+    if (job.progress.state == WorkloadState::failed) {
+        for (std::uint32_t i = 0; i < step.tasks; ++i) {
+            if (step.isGang || i == position.index)
+                awaitOtherStarts(job, { position.occurrence, position.step, i }, end.run);
+        }
+    }
+    if (step.isGang)
         stopGangOf(job, position, end.run, "another member of the gang ended");
 }
 
+/*! @brief Checks if an order that was sent may still make an executor begin a run. */
+bool Controller::mayStillBegin(const RunKey& key) const
+{
+    const auto it = m_runs.find(key);
+    return it != m_runs.end() && it->second.phase == RunPhase::ordered && it->second.possibleStarts > 0
+        && !it->second.stopAnswered;
+}
+
+/**
+ * @brief Holds back the completion of a job and the acknowledgement of its ends until the other runs of a finished task
+ * have begun or cannot begin any more.
+ *
+ * An executor may carry out a start seconds after it was sent. An acknowledged end is final, so a start that follows it
+ * does the work twice for certain.
+ */
+void Controller::awaitOtherStarts(ManagedWorkload& job, const TaskPosition& position, std::uint64_t run)
+{
+    for (const auto& it : job.progress.at(position).placements) {
+        const RunKey key { { job.id, position }, it.run };
+        if (it.run == run || !mayStillBegin(key) || !job.unsettledStarts.insert(key).second)
+            continue;
+        m_unsettledJobs.insert(job.id);
+        m_startsUnsettled.add();
+        logEvent("later_start_unsettled",
+            { { "task", key.task.toString() }, { "run", key.run }, { "finished_run", run }, { "node", it.node },
+                { "executor", it.lifetime.executor }, { "epoch", m_epoch.value() } });
+    }
+}
+
+/*! @brief Completes jobs whose last unsettled start has begun or cannot begin any more. */
+void Controller::settleStarts(const ClockReading& now)
+{
+    for (auto it = m_unsettledJobs.begin(); it != m_unsettledJobs.end();) {
+        const auto current = it++;
+        auto* const job = findJob(*current);
+        if (job) {
+            std::erase_if(job->unsettledStarts, [&](const RunKey& key) {
+                if (mayStillBegin(key))
+                    return false;
+                const auto live = m_runs.find(key);
+                const bool hasBegun = live != m_runs.end() && live->second.phase == RunPhase::confirmed;
+                logEvent("later_start_settled",
+                    { { "task", key.task.toString() }, { "run", key.run }, { "has_begun", hasBegun },
+                        { "released", live == m_runs.end() }, { "epoch", m_epoch.value() } });
+                return true;
+            });
+            if (!job->unsettledStarts.empty())
+                continue;
+            completeIfDone(*job, now);
+        }
+        m_unsettledJobs.erase(current);
+    }
+}
+
 /*! @brief Records that an executor has begun a task of the job. */
 void Controller::markBegun(ManagedWorkload& job, const ClockReading& now)
 {
@@ -355,6 +417,7 @@
             if (it.run != run)
                 stopRun({ { job.id, member }, it.run }, "another run of the task is done");
         }
+        awaitOtherStarts(job, member, run);
         if (std::exchange(task.done, true))
             return;
         --round.open;
@@ -523,7 +586,7 @@
     while (!view.pendingEnds.empty()) {
         const auto& end = view.pendingEnds.front();
         const auto* const job = end.job.empty() ? nullptr : findJob(end.job);
-        if (job && job->storedRevision < end.revision)
+        if (job && (job->storedRevision < end.revision || !job->unsettledStarts.empty()))
             break;
         view.endsStored = end.number;
         view.pendingEnds.pop_front();
@@ -578,6 +641,7 @@
             withdrawUnsentStart(it, outcome.reason, now);
         break;
     }
+    settleStarts(now);
 }
 
 /*! @brief Releases a run whose start was sent to no executor; its task may start elsewhere at once. */
@@ -634,6 +698,7 @@
         stopStalled(key, run, now);
         moveFromDepartingNode(key, run, now);
     }
+    settleStarts(now);
 }
 
 }
--- a/src/lycheespool/controller/managed_workload.h
+++ b/src/lycheespool/controller/managed_workload.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "lycheespool/controller/live_run.h"
 #include "lycheespool/core/clock.h"
 #include "lycheespool/dispatch/node_speeds.h"
 #include "lycheespool/workload/job_progress.h"
@@ -53,6 +54,9 @@
     std::uint64_t jobRowVersion { 0 };
     /*! @brief Nodes on which tasks of the job failed. */
     std::set<std::string> failedNodes;
+    /*! @brief Runs of finished tasks that their executors may still begin. Before each has begun or cannot begin any
+     * more, the job is not completed and its ends are not acknowledged. */
+    std::set<RunKey> unsettledStarts;
     /*! @brief A start of a task was planned, in this term or before; an executor may have refused it. */
     bool wasPlanned { false };
 
--- a/test/lycheespool/controller/released_runs.cpp
+++ b/test/lycheespool/controller/released_runs.cpp
@@ -49,6 +49,13 @@
         return orders;
     }
 
+    /*! @brief Sends a start of the job to an unused node, which does not answer; returns the order. */
+    RunOrder startUnanswered(const std::string& node, std::int64_t ms)
+    {
+        receive(report(ms, node), ms);
+        return ordersFor(node, ms).at(node).orders.at(0);
+    }
+
     [[nodiscard]] const JobProgress& progress() const { return controller.jobs().at("job").progress; }
 
     /*! @brief Lets a successor take over from the stored rows. */
@@ -97,6 +104,112 @@
     CHECK(stops.at("node-1").orders.at(0).run == run.run);
 }
 
+// Guards against work that is done twice: the end of a released run was acknowledged and its job shown as completed,
+// and an executor carried out the start of a later run after that (TWICE).
+TEST_CASE("a released end is neither shown nor acknowledged while a later run of its task may still begin")
+{
+    enum class Outcome : std::uint8_t { stopped, begun, neverSent, executorEnded };
+    for (const auto outcome : { Outcome::stopped, Outcome::begun, Outcome::neverSent, Outcome::executorEnded }) {
+        CAPTURE(static_cast<int>(outcome));
+        ReleasedRunFixture f { ControllerFixture::job() };
+        const auto order = f.startUnanswered("node-1", releasedMs + 100);
+        f.receive(f.listed(RunEndKind::done, releasedMs + 200), releasedMs + 200);
+        f.controller.superviseRuns(ControllerFixture::at(releasedMs + 200));
+        f.storeAll();
+        CHECK(f.progress().state == WorkloadState::running);
+        CHECK(f.controller.endsStored("node-0", f.report(0).lifetime) == 0);
+        const auto stops = f.controller.takeOrders(ControllerFixture::at(releasedMs + 300));
+        REQUIRE(stops.contains("node-1"));
+        CHECK_FALSE(stops.at("node-1").orders.at(0).isStart);
+
+        const auto now = ControllerFixture::at(releasedMs + 1000);
+        auto later = f.report(releasedMs + 1000, "node-1");
+        const auto answeredMs = static_cast<std::uint64_t>(releasedMs + 900);
+        switch (outcome) {
+        case Outcome::stopped:
+            f.controller.onOutcome("node-1", later.lifetime,
+                { order.task, order.run, RunOrderResult::stopped, {}, answeredMs, true }, now);
+            break;
+        case Outcome::begun:
+            later.running = { { order.task, order.run, {}, 10 } };
+            f.receive(later, releasedMs + 1000);
+            break;
+        case Outcome::neverSent:
+            f.controller.onOutcome("node-1", later.lifetime,
+                { order.task, order.run, RunOrderResult::unresolved, "unreachable", answeredMs, false }, now);
+            break;
+        case Outcome::executorEnded:
+            f.crash(later, releasedMs + 400, releasedMs + 1000);
+            break;
+        }
+        f.controller.superviseRuns(now);
+        CHECK(f.progress().state == WorkloadState::completed);
+        f.storeAll();
+        CHECK(f.controller.endsStored("node-0", f.report(0).lifetime) == 1);
+    }
+}
+
+// Guards against a later leader that acknowledges the end, or never completes the job, since it finds the task done.
+TEST_CASE("a successor waits for the later run of a finished task as well")
+{
+    ReleasedRunFixture f { ControllerFixture::job() };
+    const auto order = f.startUnanswered("node-1", releasedMs + 100);
+    const auto list = f.listed(RunEndKind::done, releasedMs + 200);
+    f.receive(list, releasedMs + 200);
+    f.storeAll();
+    auto successor = f.successor(releasedMs + 300);
+    successor.onReport(list, ControllerFixture::at(releasedMs + 300));
+    successor.onReport(f.report(releasedMs + 300, "node-1"), ControllerFixture::at(releasedMs + 300));
+    successor.superviseRuns(ControllerFixture::at(releasedMs + 300));
+    CHECK(successor.jobs().at("job").progress.state == WorkloadState::running);
+    CHECK(successor.endsStored("node-0", list.lifetime) == 0);
+    const auto stops = successor.takeOrders(ControllerFixture::at(releasedMs + 2000));
+    REQUIRE(stops.contains("node-1"));
+    CHECK_FALSE(stops.at("node-1").orders.at(0).isStart);
+    successor.onOutcome("node-1", f.report(0, "node-1").lifetime,
+        { order.task, order.run, RunOrderResult::stopped, {}, static_cast<std::uint64_t>(releasedMs + 2100), true },
+        ControllerFixture::at(releasedMs + 2100));
+    CHECK(successor.jobs().at("job").progress.state == WorkloadState::completed);
+}
+
+// Guards against a job that stays open for good: its leader ended between the last stop and the completion.
+TEST_CASE("a successor completes a job whose tasks are all done")
+{
+    ReleasedRunFixture f { ControllerFixture::job() };
+    auto row = f.progress();
+    row.at({ 0, 0, 0 }).done = true;
+    Controller successor { ControllerSettings {}, Epoch { 2 }, ControllerFixture::at(releasedMs).steady, f.metrics };
+    successor.addJob(
+        "job", ControllerFixture::job(), row.encode("queue", ""), 9, ControllerFixture::at(releasedMs).steady);
+    successor.superviseRuns(ControllerFixture::at(releasedMs + 100));
+    CHECK(successor.jobs().at("job").progress.state == WorkloadState::completed);
+}
+
+// Guards against a start after the last attempt: its failed end was acknowledged while that start was under way
+// (BUDGET).
+TEST_CASE("the end of a released run that spends the last attempt waits for a later start")
+{
+    ReleasedRunFixture f { ControllerFixture::job() };
+    f.receive(f.listed(RunEndKind::failed, releasedMs + 100), releasedMs + 100);
+    f.storeAll();
+    const auto orders = f.startAgain("node-1", releasedMs + 10000);
+    const auto second = orders.at("node-1").orders.at(0);
+    const std::int64_t releasedAgainMs = 2 * releasedMs + 20000;
+    f.controller.superviseRuns(ControllerFixture::at(releasedAgainMs));
+    const auto third = f.startUnanswered("node-2", releasedAgainMs + 100);
+    REQUIRE(third.run == second.run + 1);
+    auto failed = f.report(releasedAgainMs + 200, "node-1");
+    failed.ended = { { 1, second.task, second.run, RunEndKind::failed, {} } };
+    f.receive(failed, releasedAgainMs + 200);
+    f.storeAll();
+    REQUIRE(f.progress().state == WorkloadState::failed);
+    CHECK(f.controller.endsStored("node-1", failed.lifetime) == 0);
+    f.controller.onOutcome("node-2", f.report(0, "node-2").lifetime,
+        { third.task, third.run, RunOrderResult::stopped, {}, static_cast<std::uint64_t>(releasedAgainMs + 300), true },
+        ControllerFixture::at(releasedAgainMs + 300));
+    CHECK(f.controller.endsStored("node-1", failed.lifetime) == 1);
+}
+
 // Guards against a gang that works again although a released run of it was completed.
 TEST_CASE("a gang is done when a released member is listed as done, and its later run is stopped")
 {
@@ -107,6 +220,9 @@
     const auto orders = f.startAgain("node-3", releasedMs + 100);
     REQUIRE(f.controller.liveRuns().size() == 2);
     f.receive(f.listed(RunEndKind::done, releasedMs + 200), releasedMs + 200);
+    // The start of the other member has no answer yet.
+    CHECK(f.progress().state == WorkloadState::running);
+    f.confirm("node-2", orders.at("node-2"), releasedMs + 300);
     CHECK(f.progress().state == WorkloadState::completed);
     CHECK(std::ranges::all_of(f.controller.liveRuns(), [](const auto& it) { return it.second.isStopping(); }));
 }
