nodeagent: repeat the question for the lifetime, send no outdated start, log acknowledgements

Cause: a question that one call left unanswered blocked starts for 0.7 s.

Change: the question is repeated on a new connection after 100, 200 and 400 ms; it changes nothing, so a late one does no harm. A start is not sent once its decision has expired, however long the connection took. The agent logs ends_acknowledged with the lifetime and the numbers, since its log could not tell which acknowledgement had reached which lifetime.

--- a/src/lycheespool/nodeagent/executor_control.h
+++ b/src/lycheespool/nodeagent/executor_control.h
@@ -60,6 +60,8 @@
     std::string checkpoint;
     /*! @brief End of the lease on the executor's clock, ms. */
     std::int64_t leaseEndMs { 0 };
+    /*! @brief The start is not sent after this time, since its decision is outdated then; nothing for no limit. */
+    std::optional<TimePoint> sendBefore;
 };
 
 /*! @brief Request to stop a run, or to prevent its start if it has not started. */
--- a/src/lycheespool/nodeagent/node_agent.h
+++ b/src/lycheespool/nodeagent/node_agent.h
@@ -234,6 +234,7 @@
         m_listExtent = ListExtent::partial;
         m_listedAtMs = 0;
         m_endsStored = 0;
+        m_endsAcknowledged = 0;
         m_newestEnd = 0;
     }
 
@@ -372,6 +373,14 @@
         request.leaseEndMs = m_leaseClock.leaseEndMs(sent);
         request.waitMs = std::chrono::duration_cast<std::chrono::milliseconds>(wait).count();
         const auto lifetime = request.lifetime;
+        // The executor forgets these ends for good.
+        if (request.endsSeen > m_endsAcknowledged) {
+            logEvent("ends_acknowledged",
+                { { "executor", lifetime.executor }, { "born", lifetime.startedUnixMs },
+                    { "first", m_endsAcknowledged + 1 }, { "last", request.endsSeen }, { "epoch", m_epoch.value() },
+                    { "lists_age_ms", clockMs(sent) - m_listedAtMs } });
+            m_endsAcknowledged = request.endsSeen;
+        }
         auto answer = co_await m_control.hold(std::move(request), wait + executorTimeout);
         if (lifetime != m_executorState.lifetime)
             co_return true;
@@ -491,6 +500,12 @@
         }
     }
 
+    /*! @brief Time for which the decision behind an order may still start a run; negative once it is outdated. */
+    [[nodiscard]] Duration remainingDecisionTime(const NodeOrders& batch, TimePoint now) const
+    {
+        return maxDecisionAge - std::chrono::milliseconds { clockMs(now) - batch.basedOnMs };
+    }
+
     /*! @brief Returns the reason why a start must not be sent, or an empty string if it may be sent. */
     [[nodiscard]] std::string startRejectionReason(const NodeOrders& batch, TimePoint now) const
     {
@@ -502,8 +517,7 @@
             return "draining";
         if (!m_leaseClock.isExtending())
             return "unreachable";
-        const auto age = std::chrono::milliseconds { clockMs(now) - batch.basedOnMs };
-        if (age > maxDecisionAge || !m_leaseClock.isPermitted(now))
+        if (remainingDecisionTime(batch, now) < Duration {} || !m_leaseClock.isPermitted(now))
             return "expired";
         return {};
     }
@@ -517,7 +531,7 @@
         bool mayHaveBegun = false;
         while (rejectionReason.empty() && now - beginTime < orderTimeout) {
             RunStart start { batch.lifetime, batch.epoch.value(), order.task, order.run, order.payload,
-                order.checkpoint, m_leaseClock.leaseEndMs(now).value_or(0) };
+                order.checkpoint, m_leaseClock.leaseEndMs(now).value_or(0), now + remainingDecisionTime(batch, now) };
             const auto answer = co_await m_control.start(std::move(start), executorTimeout);
             now = BootClock {}.now();
             if (answer.clockMs && batch.lifetime == m_executorState.lifetime)
@@ -592,6 +606,8 @@
     ListExtent m_listExtent { ListExtent::partial };
     std::uint64_t m_listedAtMs { 0 };
     std::uint64_t m_endsStored { 0 };
+    /*! @brief Number up to which ends were acknowledged to the present lifetime. */
+    std::uint64_t m_endsAcknowledged { 0 };
     std::uint64_t m_newestEnd { 0 };
     LatencyHistogram& m_startLatency;
     Counter& m_ordersStarted;
--- a/src/lycheespool/nodeagent/verified_connections.h
+++ b/src/lycheespool/nodeagent/verified_connections.h
@@ -1,12 +1,16 @@
 #pragma once
 
+#include "lycheespool/core/boot_clock.h"
 #include "lycheespool/core/event_log.h"
 #include "lycheespool/core/metrics.h"
 #include "lycheespool/nodeagent/executor_control.h"
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <chrono>
 #include <memory>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -31,6 +35,11 @@
 
     /*! @brief Maximum number of idle connections. */
     static constexpr std::size_t maxIdleConnections = 64;
+    /*! @brief Time after which a first question for the lifetime is repeated on a new connection; it doubles with each
+     * attempt. An answer takes about 1 ms, and an executor that leaves some calls unanswered answers the next one. */
+    static constexpr Duration verificationTimeout = std::chrono::milliseconds { 100 };
+    /*! @brief Maximum time for all attempts to verify a connection. */
+    static constexpr Duration maxVerificationTime = std::chrono::milliseconds { 700 };
 
     /**
      * @brief Constructs an object without connections.
@@ -51,6 +60,13 @@
         auto verified = co_await acquire(lifetime, start.epoch, "start", timeout);
         if (!verified.connection)
             co_return std::move(verified.answer);
+        if (start.sendBefore && BootClock {}.now() > *start.sendBefore) {
+            ExecutorAnswer expired;
+            expired.kind = ExecutorAnswerKind::unavailable;
+            expired.reason = "the decision expired while connecting";
+            release(lifetime, std::move(verified.connection), expired);
+            co_return expired;
+        }
         auto answer = co_await verified.connection->start(std::move(start), timeout);
         release(lifetime, std::move(verified.connection), answer);
         co_return answer;
@@ -117,23 +133,32 @@
             m_idle.pop_back();
             co_return verified;
         }
-        auto connection = co_await m_transport.connect(timeout);
-        if (!connection) {
-            verified.answer.kind = ExecutorAnswerKind::unavailable;
-            verified.answer.reason = "cannot connect";
-            co_return verified;
-        }
-        m_opened.add();
-        // Without an acknowledgement, a lease and a wait, this call changes nothing at any lifetime.
-        HoldRequest request;
-        request.lifetime = lifetime;
-        request.epoch = epoch;
-        auto list = co_await connection->hold(std::move(request), timeout);
-        if (isFrom(lifetime, list.answer) && connection->isOpen()) {
-            verified.connection = std::move(connection);
-            co_return verified;
+        const auto end = BootClock {}.now() + std::min(timeout, maxVerificationTime);
+        auto attemptTimeout = std::min(timeout, verificationTimeout);
+        ExecutorAnswer answer;
+        while (attemptTimeout > Duration {}) {
+            auto connection = co_await m_transport.connect(attemptTimeout);
+            if (!connection) {
+                verified.answer.kind = ExecutorAnswerKind::unavailable;
+                verified.answer.reason = "cannot connect";
+                co_return verified;
+            }
+            m_opened.add();
+            // Without an acknowledgement, a lease and a wait, this call changes nothing at any lifetime.
+            HoldRequest request;
+            request.lifetime = lifetime;
+            request.epoch = epoch;
+            auto list = co_await connection->hold(std::move(request), attemptTimeout);
+            answer = std::move(list.answer);
+            if (isFrom(lifetime, answer) && connection->isOpen()) {
+                verified.connection = std::move(connection);
+                co_return verified;
+            }
+            if (answer.kind != ExecutorAnswerKind::unanswered)
+                break;
+            attemptTimeout = std::min(2 * attemptTimeout, end - BootClock {}.now());
         }
-        verified.answer = rejection(lifetime, std::move(list.answer));
+        verified.answer = rejection(lifetime, std::move(answer));
         m_unverified.add();
         logEvent("executor_connection_unverified",
             { { "executor", lifetime.executor }, { "born", lifetime.startedUnixMs },
--- a/test/lycheespool/nodeagent/agent_fixture.h
+++ b/test/lycheespool/nodeagent/agent_fixture.h
@@ -39,7 +39,13 @@
             m_context.get_executor(), m_settings, m_store, control, RowNames {}, m_metrics);
         m_agent->start();
     }
-    ~AgentWithLeader() { m_server.stop(); }
+    ~AgentWithLeader()
+    {
+        m_server.stop();
+        m_pool.stop();
+        // The connection uses a context of the pool.
+        m_source.reset();
+    }
     AgentWithLeader(const AgentWithLeader&) = delete;
     AgentWithLeader& operator=(const AgentWithLeader&) = delete;
 
--- a/test/lycheespool/nodeagent/fake_executor_host.h
+++ b/test/lycheespool/nodeagent/fake_executor_host.h
@@ -139,6 +139,10 @@
         ++connections;
         if (!present)
             co_return nullptr;
+        if (muteConnections > 0) {
+            --muteConnections;
+            co_return std::make_unique<Connection>(*this, present, std::make_shared<bool>(true));
+        }
         co_return std::make_unique<Connection>(*this, present, m_isSilent);
     }
 
@@ -167,6 +171,8 @@
     std::size_t connections { 0 };
     /*! @brief No call is answered on any connection. */
     bool isMute { false };
+    /*! @brief Number of next connections on which no call is answered. */
+    std::size_t muteConnections { 0 };
     /*! @brief Answers name the lifetime. */
     bool namesLifetime { true };
     /*! @brief Each answer ends its connection. */
--- a/test/lycheespool/nodeagent/verified_connections.cpp
+++ b/test/lycheespool/nodeagent/verified_connections.cpp
@@ -4,6 +4,8 @@
 
 #include <doctest/doctest.h>
 
+#include <optional>
+
 using namespace lycheespool;
 using namespace std::chrono_literals;
 
@@ -24,16 +26,17 @@
         return await(m_connections.hold(std::move(request), timeout));
     }
 
-    ExecutorAnswer start()
+    ExecutorAnswer start(std::optional<TimePoint> sendBefore = {})
     {
         RunStart request;
+        request.sendBefore = sendBefore;
         request.lifetime = lifetime;
         request.task = "job.0.0.0";
         request.run = 1;
         return await(m_connections.start(std::move(request), timeout));
     }
 
-    static constexpr Duration timeout = 50ms;
+    Duration timeout { 50ms };
     FakeExecutorHost host;
     Lifetime lifetime { "executor", startedUnixMs };
 
@@ -131,3 +134,25 @@
     CHECK(f.start().kind == ExecutorAnswerKind::unanswered);
     CHECK(f.start().kind == ExecutorAnswerKind::wrongLifetime);
 }
+
+// Guards against starts that are refused for 0.7 s or more because one question was left unanswered.
+TEST_CASE("an unanswered question for the lifetime is repeated on a new connection")
+{
+    Fixture f;
+    f.timeout = 2s;
+    f.host.muteConnections = 2;
+    const auto begin = BootClock {}.now();
+    CHECK(f.start().kind == ExecutorAnswerKind::accepted);
+    CHECK(BootClock {}.now() - begin < VerifiedConnections<FakeExecutorHost>::maxVerificationTime);
+    CHECK(f.host.connections == 3);
+}
+
+// Guards against a start of a cancelled job or a drained zone that was decided in time and sent too late.
+TEST_CASE("a start whose decision expires while the connection is verified is not sent")
+{
+    Fixture f;
+    CHECK(f.start(BootClock {}.now() - 1ms).kind == ExecutorAnswerKind::unavailable);
+    CHECK(f.host.present->starts.empty());
+    CHECK(f.start(BootClock {}.now() + 10s).kind == ExecutorAnswerKind::accepted);
+    CHECK(f.host.connections == 1);
+}
