nodeagent: use the lists that verify a connection, keep idle connections that still answer

Change: the lists of the question answer the hold that caused it; they are as new, and the acknowledgement and the lease go with the next call. An unanswered call keeps the idle connections if one that was opened before it was answered since, which shows that they have not fallen silent together.

--- a/src/lycheespool/nodeagent/executor_control.h
+++ b/src/lycheespool/nodeagent/executor_control.h
@@ -91,6 +91,8 @@
     std::vector<RunEnd> ended;
     /*! @brief Complete only if the executor is known to have listed all its runs and ends. */
     ListExtent extent { ListExtent::partial };
+    /*! @brief The call carried neither the acknowledgement nor the lease of the request, which the next one will. */
+    bool isQuestionOnly { false };
 };
 
 /**
--- a/src/lycheespool/nodeagent/node_agent.h
+++ b/src/lycheespool/nodeagent/node_agent.h
@@ -373,15 +373,10 @@
         request.leaseEndMs = m_leaseClock.leaseEndMs(sent);
         request.waitMs = std::chrono::duration_cast<std::chrono::milliseconds>(wait).count();
         const auto lifetime = request.lifetime;
-        // The executor forgets these ends for good.
-        if (request.endsSeen > m_endsAcknowledged) {
-            logEvent("ends_acknowledged",
-                { { "executor", lifetime.executor }, { "born", lifetime.startedUnixMs },
-                    { "first", m_endsAcknowledged + 1 }, { "last", request.endsSeen }, { "epoch", m_epoch.value() },
-                    { "lists_age_ms", clockMs(sent) - m_listedAtMs } });
-            m_endsAcknowledged = request.endsSeen;
-        }
+        const auto endsSeen = request.endsSeen;
         auto answer = co_await m_control.hold(std::move(request), wait + executorTimeout);
+        if (!answer.isQuestionOnly)
+            recordAcknowledgement(lifetime, endsSeen, answer.answer);
         if (lifetime != m_executorState.lifetime)
             co_return true;
         const auto& result = answer.answer;
@@ -422,6 +417,18 @@
         co_return true;
     }
 
+    /*! @brief Logs which ends a call has acknowledged; the executor forgets them for good. */
+    void recordAcknowledgement(const Lifetime& lifetime, std::uint64_t endsSeen, const ExecutorAnswer& answer)
+    {
+        if (lifetime != m_executorState.lifetime || endsSeen <= m_endsAcknowledged)
+            return;
+        logEvent("ends_acknowledged",
+            { { "executor", lifetime.executor }, { "born", lifetime.startedUnixMs },
+                { "first", m_endsAcknowledged + 1 }, { "last", endsSeen }, { "kind", static_cast<int>(answer.kind) },
+                { "epoch", m_epoch.value() } });
+        m_endsAcknowledged = endsSeen;
+    }
+
     // Orders of the leader.
 
     void onMessage(const std::shared_ptr<RpcConnection>& source, Envelope envelope)
--- a/src/lycheespool/nodeagent/verified_connections.h
+++ b/src/lycheespool/nodeagent/verified_connections.h
@@ -64,11 +64,11 @@
             ExecutorAnswer expired;
             expired.kind = ExecutorAnswerKind::unavailable;
             expired.reason = "the decision expired while connecting";
-            release(lifetime, std::move(verified.connection), expired);
+            release(lifetime, std::move(verified), expired);
             co_return expired;
         }
         auto answer = co_await verified.connection->start(std::move(start), timeout);
-        release(lifetime, std::move(verified.connection), answer);
+        release(lifetime, std::move(verified), answer);
         co_return answer;
     }
 
@@ -80,7 +80,7 @@
         if (!verified.connection)
             co_return std::move(verified.answer);
         auto answer = co_await verified.connection->stop(std::move(stop), timeout);
-        release(lifetime, std::move(verified.connection), answer);
+        release(lifetime, std::move(verified), answer);
         co_return answer;
     }
 
@@ -94,8 +94,15 @@
             rejected.answer = std::move(verified.answer);
             co_return rejected;
         }
+        if (verified.list) {
+            // The lists that verified the connection are as new as those of another call would be.
+            auto list = std::move(*verified.list);
+            list.isQuestionOnly = true;
+            release(lifetime, std::move(verified), list.answer);
+            co_return list;
+        }
         auto answer = co_await verified.connection->hold(std::move(request), timeout);
-        release(lifetime, std::move(verified.connection), answer.answer);
+        release(lifetime, std::move(verified), answer.answer);
         co_return answer;
     }
 
@@ -106,6 +113,11 @@
     struct Verified {
         ConnectionPtr connection;
         ExecutorAnswer answer;
+        TimePoint openedAt {};
+        /*! @brief Time at which the connection was handed out for a call. */
+        TimePoint sentAt {};
+        /*! @brief Lists of the call that verified the connection, if it is new. */
+        std::optional<HoldAnswer> list;
     };
 
     [[nodiscard]] static bool isOther(const Lifetime& lifetime, const ExecutorAnswer& answer)
@@ -129,8 +141,9 @@
         }
         Verified verified;
         if (!m_idle.empty()) {
-            verified.connection = std::move(m_idle.back());
+            verified = std::move(m_idle.back());
             m_idle.pop_back();
+            verified.sentAt = BootClock {}.now();
             co_return verified;
         }
         const auto end = BootClock {}.now() + std::min(timeout, maxVerificationTime);
@@ -149,9 +162,12 @@
             request.lifetime = lifetime;
             request.epoch = epoch;
             auto list = co_await connection->hold(std::move(request), attemptTimeout);
-            answer = std::move(list.answer);
+            answer = list.answer;
             if (isFrom(lifetime, answer) && connection->isOpen()) {
+                verified.list = std::move(list);
                 verified.connection = std::move(connection);
+                verified.sentAt = BootClock {}.now();
+                verified.openedAt = verified.sentAt;
                 co_return verified;
             }
             if (answer.kind != ExecutorAnswerKind::unanswered)
@@ -186,9 +202,9 @@
         return answer;
     }
 
-    /*! @brief Keeps a connection for later calls, unless its call shows that connections have ended or fallen silent.
-     */
-    void release(const Lifetime& lifetime, ConnectionPtr connection, ExecutorAnswer& answer)
+    /*! @brief Keeps the connection of a call for later ones, unless its answer shows that it has ended, or names
+     * another lifetime. */
+    void release(const Lifetime& lifetime, Verified used, ExecutorAnswer& answer)
     {
         if (isOther(lifetime, answer)) {
             // The call was executed by a lifetime that it did not name; its sender must not take that for success.
@@ -198,17 +214,24 @@
             return;
         }
         if (answer.kind == ExecutorAnswerKind::unanswered) {
-            m_idle.clear();
+            // Connections can fall silent all at once. An older one that was answered since shows that they have not.
+            if (m_answeredOpenedAt > used.sentAt || m_answeredAt < used.sentAt)
+                m_idle.clear();
             return;
         }
-        if (connection->isOpen() && lifetime == m_lifetime && m_idle.size() < maxIdleConnections)
-            m_idle.push_back(std::move(connection));
+        m_answeredOpenedAt = used.openedAt;
+        m_answeredAt = BootClock {}.now();
+        if (used.connection->isOpen() && lifetime == m_lifetime && m_idle.size() < maxIdleConnections)
+            m_idle.push_back({ std::move(used.connection), {}, used.openedAt, {}, {} });
     }
 
     Transport& m_transport;
     /*! @brief Lifetime of the idle connections. */
     Lifetime m_lifetime;
-    std::vector<ConnectionPtr> m_idle;
+    std::vector<Verified> m_idle;
+    /*! @brief When the connection that was answered last was opened, and when it was answered. */
+    TimePoint m_answeredOpenedAt {};
+    TimePoint m_answeredAt {};
     Counter& m_opened;
     Counter& m_unverified;
 };
--- a/test/lycheespool/nodeagent/fake_executor_host.h
+++ b/test/lycheespool/nodeagent/fake_executor_host.h
@@ -25,6 +25,8 @@
     std::int64_t startedUnixMs { 0 };
     AcknowledgementReading reading { AcknowledgementReading::atCall };
     bool isUp { true };
+    /*! @brief Number of next starts that are neither executed nor answered. */
+    std::size_t unansweredStarts { 0 };
     std::uint64_t highestAcknowledged { 0 };
     std::uint64_t newestEnd { 0 };
     std::vector<RunEnd> ended;
@@ -78,7 +80,12 @@
 
         [[nodiscard]] Awaitable<ExecutorAnswer> start(RunStart start, Duration timeout)
         {
-            const bool isReached = co_await reaches(timeout);
+            bool isReached = co_await reaches(timeout);
+            if (isReached && m_process->unansweredStarts > 0) {
+                --m_process->unansweredStarts;
+                co_await sleepFor(timeout);
+                isReached = m_isOpen = false;
+            }
             if (isReached)
                 m_process->starts.push_back(std::move(start));
             co_return answer(isReached);
--- a/test/lycheespool/nodeagent/verified_connections.cpp
+++ b/test/lycheespool/nodeagent/verified_connections.cpp
@@ -28,12 +28,23 @@
 
     ExecutorAnswer start(std::optional<TimePoint> sendBefore = {})
     {
-        RunStart request;
-        request.sendBefore = sendBefore;
-        request.lifetime = lifetime;
-        request.task = "job.0.0.0";
-        request.run = 1;
-        return await(m_connections.start(std::move(request), timeout));
+        return await(m_connections.start(startRequest(sendBefore), timeout));
+    }
+
+    /*! @brief Starts a run while another call is sent and answered. */
+    ExecutorAnswer startBesideHold()
+    {
+        auto call = asio::co_spawn(m_context, m_connections.start(startRequest({}), timeout), asio::use_future);
+        (void)hold();
+        return call.get();
+    }
+
+    /*! @brief Opens connections by calls at the same time. */
+    void openConnections(std::size_t count)
+    {
+        for (std::size_t i = 1; i < count; ++i)
+            asio::co_spawn(m_context, m_connections.start(startRequest({}), timeout), asio::detached);
+        (void)hold();
     }
 
     Duration timeout { 50ms };
@@ -41,6 +52,16 @@
     Lifetime lifetime { "executor", startedUnixMs };
 
 private:
+    [[nodiscard]] RunStart startRequest(std::optional<TimePoint> sendBefore) const
+    {
+        RunStart request;
+        request.sendBefore = sendBefore;
+        request.lifetime = lifetime;
+        request.task = "job.0.0.0";
+        request.run = 1;
+        return request;
+    }
+
     template <typename Answer>
     Answer await(Awaitable<Answer> call)
     {
@@ -60,7 +81,10 @@
 TEST_CASE("a connection is verified once, by a call that changes nothing at the executor")
 {
     Fixture f;
-    CHECK(f.hold(3).answer.kind == ExecutorAnswerKind::accepted);
+    const auto first = f.hold(3);
+    CHECK(first.answer.kind == ExecutorAnswerKind::accepted);
+    CHECK(first.isQuestionOnly);
+    CHECK_FALSE(f.hold(3).isQuestionOnly);
     CHECK(f.start().kind == ExecutorAnswerKind::accepted);
     CHECK(f.host.connections == 1);
     const auto& holds = f.host.present->holds;
@@ -125,6 +149,19 @@
     CHECK(f.host.connections == 2);
 }
 
+// Guards against connections that are verified anew, and starts that wait for it, after each call that one executor
+// leaves unanswered.
+TEST_CASE("an unanswered call keeps the idle connections if an older one was answered since")
+{
+    Fixture f;
+    f.openConnections(2);
+    REQUIRE(f.host.connections == 2);
+    f.host.present->unansweredStarts = 1;
+    CHECK(f.startBesideHold().kind == ExecutorAnswerKind::unanswered);
+    CHECK(f.start().kind == ExecutorAnswerKind::accepted);
+    CHECK(f.host.connections == 2);
+}
+
 // Guards against a start that is taken for a success although a later lifetime answered on the same connection.
 TEST_CASE("an answer of another lifetime on a verified connection is no success")
 {
