--- a/test/soak/executor_emulator.cpp
+++ b/test/soak/executor_emulator.cpp
@@ -41,6 +41,7 @@
     , m_checker { checker }
     , m_gangs { gangs }
     , m_random { seed }
+    , m_keepsAcknowledgements { seed % 2 == 1 }
     , m_server { pool, m_location.address, m_metrics,
         [this](HttpRequest request) { return serve(std::move(request)); } }
     , m_agent { m_location.agent }
@@ -62,6 +63,7 @@
     m_epoch = 0;
     m_leaseEndMs = 0;
     m_nextEnd = 1;
+    m_highestAcknowledged = 0;
     m_highestRuns.clear();
     m_ends.clear();
     m_isUp = true;
@@ -242,10 +244,8 @@
         co_return makeResponse(409, "fence");
     extendLease(body);
     const auto acknowledged = body.value("lastSeen", std::uint64_t { 0 });
-    while (!m_ends.empty() && m_ends.front().number <= acknowledged) {
-        m_checker.onEndAcknowledged(m_ends.front().identity, m_ends.front().endReason);
-        m_ends.pop_front();
-    }
+    m_highestAcknowledged = std::max(m_highestAcknowledged, acknowledged);
+    forgetEnds(m_keepsAcknowledgements ? m_highestAcknowledged : acknowledged);
     const auto until = BootClock {}.now() + std::chrono::milliseconds { body.value("waitMs", std::int64_t { 0 }) };
     while (m_isUp && m_lifetime == lifetime && m_ends.empty() && BootClock {}.now() < until)
         co_await sleepFor(tickInterval);
@@ -271,12 +271,22 @@
     auto& highest = m_highestRuns[run.identity.task.toString()];
     highest = std::max(highest, run.identity.run);
     m_ends.push_back({ m_nextEnd++, run.identity, endReason, run.checkpoint });
+    if (m_keepsAcknowledgements)
+        forgetEnds(m_highestAcknowledged);
     if (run.isGang) {
         m_gangs.leave(run.identity);
         m_gangs.end(run.identity, endReason);
     }
 }
 
+void ExecutorEmulator::forgetEnds(std::uint64_t acknowledged)
+{
+    while (!m_ends.empty() && m_ends.front().number <= acknowledged) {
+        m_checker.onEndAcknowledged(m_ends.front().identity, m_ends.front().endReason);
+        m_ends.pop_front();
+    }
+}
+
 void ExecutorEmulator::advance(Run& run, Duration passed)
 {
     if (run.restoring > Duration {}) {
--- a/test/soak/executor_emulator.h
+++ b/test/soak/executor_emulator.h
@@ -151,6 +151,7 @@
     void advance(Run& run, Duration passed);
     void stop(Run& run);
     void end(const Run& run, const std::string& endReason);
+    void forgetEnds(std::uint64_t acknowledged);
     void saveCheckpoint(Run& run);
     [[nodiscard]] std::int64_t clockMs() const;
 
@@ -159,6 +160,9 @@
     InvariantChecker& m_checker;
     GangRegistry& m_gangs;
     std::mt19937_64 m_random;
+    /*! @brief Later ends up to the highest acknowledged number are forgotten as they arise. The protocol allows this
+     * reading of an acknowledgement as well as one that covers only the ends at the call. */
+    bool m_keepsAcknowledgements;
     Metrics m_metrics;
     HttpServer m_server;
     HttpClient m_agent;
@@ -177,6 +181,7 @@
     std::map<std::string, Run> m_runs;
     std::map<std::string, std::uint64_t> m_highestRuns;
     std::deque<End> m_ends;
+    std::uint64_t m_highestAcknowledged { 0 };
 };
 
 }
