nodeagent: clearer names in VerifiedConnections

Read as a newcomer: the first call on a connection is a verification call, idle connections have a type of their own, and acquire() returns what it acquired.

--- a/src/lycheespool/nodeagent/executor_control.h
+++ b/src/lycheespool/nodeagent/executor_control.h
@@ -91,8 +91,9 @@
     std::vector<RunEnd> ended;
     /*! @brief Complete only if the executor is known to have listed all its runs and ends. */
     ListExtent extent { ListExtent::partial };
-    /*! @brief The call carried neither the acknowledgement nor the lease of the request, which the next one will. */
-    bool isQuestionOnly { false };
+    /*! @brief The answer is that of a verification call, which carried neither the acknowledgement nor the lease of the
+     * request; the caller sends the request again. */
+    bool isVerification { false };
 };
 
 /**
--- a/src/lycheespool/nodeagent/node_agent.h
+++ b/src/lycheespool/nodeagent/node_agent.h
@@ -375,7 +375,7 @@
         const auto lifetime = request.lifetime;
         const auto endsSeen = request.endsSeen;
         auto answer = co_await m_control.hold(std::move(request), wait + executorTimeout);
-        if (!answer.isQuestionOnly)
+        if (!answer.isVerification)
             recordAcknowledgement(lifetime, endsSeen, answer.answer);
         if (lifetime != m_executorState.lifetime)
             co_return true;
--- a/src/lycheespool/nodeagent/verified_connections.h
+++ b/src/lycheespool/nodeagent/verified_connections.h
@@ -21,8 +21,8 @@
  *
  * An executor may restart under its id, so the id does not tell two lifetimes apart. A start, an acknowledgement of
  * ends or a lease that reaches a later lifetime has an effect there before its answer shows the mistake. A connection
- * ends with the process that accepted it. The first call on each connection therefore asks which lifetime answers, and
- * has no effect on any. Only a connection to the expected lifetime carries the call.
+ * ends with the process that accepted it. The first call on each connection therefore verifies which lifetime answers,
+ * and changes nothing there. Only a connection to the expected lifetime carries the call.
  *
  * Single-threaded.
  *
@@ -35,8 +35,8 @@
 
     /*! @brief Maximum number of idle connections. */
     static constexpr std::size_t maxIdleConnections = 64;
-    /*! @brief Time after which a first question for the lifetime is repeated on a new connection; it doubles with each
-     * attempt. An answer takes about 1 ms, and an executor that leaves some calls unanswered answers the next one. */
+    /*! @brief Timeout of the first verification call; it doubles with each attempt on another connection. An answer
+     * takes about 1 ms, and an executor that leaves some calls unanswered may answer the next one. */
     static constexpr Duration verificationTimeout = std::chrono::milliseconds { 100 };
     /*! @brief Maximum time for all attempts to verify a connection. */
     static constexpr Duration maxVerificationTime = std::chrono::milliseconds { 700 };
@@ -57,18 +57,18 @@
     [[nodiscard]] Awaitable<ExecutorAnswer> start(RunStart start, Duration timeout)
     {
         const auto lifetime = start.lifetime;
-        auto verified = co_await acquire(lifetime, start.epoch, "start", timeout);
-        if (!verified.connection)
-            co_return std::move(verified.answer);
+        auto acquired = co_await acquire(lifetime, start.epoch, "start", timeout);
+        if (!acquired.connection)
+            co_return std::move(acquired.answer);
         if (start.sendBefore && BootClock {}.now() > *start.sendBefore) {
             ExecutorAnswer expired;
             expired.kind = ExecutorAnswerKind::unavailable;
             expired.reason = "the decision expired while connecting";
-            release(lifetime, std::move(verified), expired);
+            release(lifetime, std::move(acquired), expired);
             co_return expired;
         }
-        auto answer = co_await verified.connection->start(std::move(start), timeout);
-        release(lifetime, std::move(verified), answer);
+        auto answer = co_await acquired.connection->start(std::move(start), timeout);
+        release(lifetime, std::move(acquired), answer);
         co_return answer;
     }
 
@@ -76,11 +76,11 @@
     [[nodiscard]] Awaitable<ExecutorAnswer> stop(RunStop stop, Duration timeout)
     {
         const auto lifetime = stop.lifetime;
-        auto verified = co_await acquire(lifetime, stop.epoch, "stop", timeout);
-        if (!verified.connection)
-            co_return std::move(verified.answer);
-        auto answer = co_await verified.connection->stop(std::move(stop), timeout);
-        release(lifetime, std::move(verified), answer);
+        auto acquired = co_await acquire(lifetime, stop.epoch, "stop", timeout);
+        if (!acquired.connection)
+            co_return std::move(acquired.answer);
+        auto answer = co_await acquired.connection->stop(std::move(stop), timeout);
+        release(lifetime, std::move(acquired), answer);
         co_return answer;
     }
 
@@ -88,36 +88,41 @@
     [[nodiscard]] Awaitable<HoldAnswer> hold(HoldRequest request, Duration timeout)
     {
         const auto lifetime = request.lifetime;
-        auto verified = co_await acquire(lifetime, request.epoch, "hold", timeout);
-        if (!verified.connection) {
+        auto acquired = co_await acquire(lifetime, request.epoch, "hold", timeout);
+        if (!acquired.connection) {
             HoldAnswer rejected;
-            rejected.answer = std::move(verified.answer);
+            rejected.answer = std::move(acquired.answer);
             co_return rejected;
         }
-        if (verified.list) {
-            // The lists that verified the connection are as new as those of another call would be.
-            auto list = std::move(*verified.list);
-            list.isQuestionOnly = true;
-            release(lifetime, std::move(verified), list.answer);
+        if (acquired.verification) {
+            // The lists of the verification call are as new as those of another call would be.
+            auto list = std::move(*acquired.verification);
+            list.isVerification = true;
+            release(lifetime, std::move(acquired), list.answer);
             co_return list;
         }
-        auto answer = co_await verified.connection->hold(std::move(request), timeout);
-        release(lifetime, std::move(verified), answer.answer);
+        auto answer = co_await acquired.connection->hold(std::move(request), timeout);
+        release(lifetime, std::move(acquired), answer.answer);
         co_return answer;
     }
 
 private:
     using ConnectionPtr = std::unique_ptr<Connection>;
 
+    struct IdleConnection {
+        ConnectionPtr connection;
+        TimePoint openedAt {};
+    };
+
     /*! @brief A connection to the expected lifetime, or the answer of the call that cannot be sent. */
-    struct Verified {
+    struct Acquired {
         ConnectionPtr connection;
         ExecutorAnswer answer;
         TimePoint openedAt {};
         /*! @brief Time at which the connection was handed out for a call. */
         TimePoint sentAt {};
-        /*! @brief Lists of the call that verified the connection, if it is new. */
-        std::optional<HoldAnswer> list;
+        /*! @brief Answer of the verification call, if the connection is new. */
+        std::optional<HoldAnswer> verification;
     };
 
     [[nodiscard]] static bool isOther(const Lifetime& lifetime, const ExecutorAnswer& answer)
@@ -132,19 +137,21 @@
             && answer.startedUnixMs.value_or(0) == lifetime.startedUnixMs;
     }
 
-    [[nodiscard]] Awaitable<Verified> acquire(
+    /*! @brief Takes an idle connection, or opens one and verifies its lifetime. */
+    [[nodiscard]] Awaitable<Acquired> acquire(
         Lifetime lifetime, std::uint64_t epoch, const char* purpose, Duration timeout)
     {
         if (lifetime != m_lifetime) {
             m_idle.clear();
             m_lifetime = lifetime;
         }
-        Verified verified;
+        Acquired acquired;
         if (!m_idle.empty()) {
-            verified = std::move(m_idle.back());
+            acquired.connection = std::move(m_idle.back().connection);
+            acquired.openedAt = m_idle.back().openedAt;
             m_idle.pop_back();
-            verified.sentAt = BootClock {}.now();
-            co_return verified;
+            acquired.sentAt = BootClock {}.now();
+            co_return acquired;
         }
         const auto end = BootClock {}.now() + std::min(timeout, maxVerificationTime);
         auto attemptTimeout = std::min(timeout, verificationTimeout);
@@ -152,35 +159,36 @@
         while (attemptTimeout > Duration {}) {
             auto connection = co_await m_transport.connect(attemptTimeout);
             if (!connection) {
-                verified.answer.kind = ExecutorAnswerKind::unavailable;
-                verified.answer.reason = "cannot connect";
-                co_return verified;
+                acquired.answer.kind = ExecutorAnswerKind::unavailable;
+                acquired.answer.reason = "cannot connect";
+                co_return acquired;
             }
             m_opened.add();
-            // Without an acknowledgement, a lease and a wait, this call changes nothing at any lifetime.
+            // Without an acknowledgement and a lease, the call changes nothing but the fencing number, which holds for
+            // all lifetimes.
             HoldRequest request;
             request.lifetime = lifetime;
             request.epoch = epoch;
             auto list = co_await connection->hold(std::move(request), attemptTimeout);
             answer = list.answer;
             if (isFrom(lifetime, answer) && connection->isOpen()) {
-                verified.list = std::move(list);
-                verified.connection = std::move(connection);
-                verified.sentAt = BootClock {}.now();
-                verified.openedAt = verified.sentAt;
-                co_return verified;
+                acquired.verification = std::move(list);
+                acquired.connection = std::move(connection);
+                acquired.sentAt = BootClock {}.now();
+                acquired.openedAt = acquired.sentAt;
+                co_return acquired;
             }
             if (answer.kind != ExecutorAnswerKind::unanswered)
                 break;
             attemptTimeout = std::min(2 * attemptTimeout, end - BootClock {}.now());
         }
-        verified.answer = rejection(lifetime, std::move(answer));
+        acquired.answer = rejection(lifetime, std::move(answer));
         m_unverified.add();
         logEvent("executor_connection_unverified",
             { { "executor", lifetime.executor }, { "born", lifetime.startedUnixMs },
-                { "answered_born", verified.answer.startedUnixMs.value_or(0) }, { "call", purpose },
-                { "kind", static_cast<int>(verified.answer.kind) }, { "reason", verified.answer.reason } });
-        co_return verified;
+                { "answered_born", acquired.answer.startedUnixMs.value_or(0) }, { "call", purpose },
+                { "kind", static_cast<int>(acquired.answer.kind) }, { "reason", acquired.answer.reason } });
+        co_return acquired;
     }
 
     /*! @brief Returns the answer of a call that was not sent, since the lifetime of the connection is not the expected
@@ -197,14 +205,14 @@
         if (answer.kind == ExecutorAnswerKind::accepted)
             answer.reason
                 = isFrom(lifetime, answer) ? "the executor ended the connection" : "no lifetime in the answer";
-        // Whatever became of the question, the call itself was not executed.
+        // Only the verification call was sent, so the call itself was not executed.
         answer.kind = ExecutorAnswerKind::unavailable;
         return answer;
     }
 
     /*! @brief Keeps the connection of a call for later ones, unless its answer shows that it has ended, or names
      * another lifetime. */
-    void release(const Lifetime& lifetime, Verified used, ExecutorAnswer& answer)
+    void release(const Lifetime& lifetime, Acquired used, ExecutorAnswer& answer)
     {
         if (isOther(lifetime, answer)) {
             // The call was executed by a lifetime that it did not name; its sender must not take that for success.
@@ -222,13 +230,13 @@
         m_answeredOpenedAt = used.openedAt;
         m_answeredAt = BootClock {}.now();
         if (used.connection->isOpen() && lifetime == m_lifetime && m_idle.size() < maxIdleConnections)
-            m_idle.push_back({ std::move(used.connection), {}, used.openedAt, {}, {} });
+            m_idle.push_back({ std::move(used.connection), used.openedAt });
     }
 
     Transport& m_transport;
     /*! @brief Lifetime of the idle connections. */
     Lifetime m_lifetime;
-    std::vector<Verified> m_idle;
+    std::vector<IdleConnection> m_idle;
     /*! @brief When the connection that was answered last was opened, and when it was answered. */
     TimePoint m_answeredOpenedAt {};
     TimePoint m_answeredAt {};
--- a/test/lycheespool/nodeagent/verified_connections.cpp
+++ b/test/lycheespool/nodeagent/verified_connections.cpp
@@ -83,8 +83,8 @@
     Fixture f;
     const auto first = f.hold(3);
     CHECK(first.answer.kind == ExecutorAnswerKind::accepted);
-    CHECK(first.isQuestionOnly);
-    CHECK_FALSE(f.hold(3).isQuestionOnly);
+    CHECK(first.isVerification);
+    CHECK_FALSE(f.hold(3).isVerification);
     CHECK(f.start().kind == ExecutorAnswerKind::accepted);
     CHECK(f.host.connections == 1);
     const auto& holds = f.host.present->holds;
@@ -118,8 +118,8 @@
     CHECK(f.host.connections == 2);
 }
 
-// Guards against starts that are counted as possibly executed, and tasks that wait for them, although only the question
-// for the lifetime was sent.
+// Guards against starts that are counted as possibly executed, and tasks that wait for them, although only the
+// verification call was sent.
 TEST_CASE("a call whose connection cannot be verified was not executed")
 {
     Fixture f;
@@ -172,8 +172,8 @@
     CHECK(f.start().kind == ExecutorAnswerKind::wrongLifetime);
 }
 
-// Guards against starts that are refused for 0.7 s or more because one question was left unanswered.
-TEST_CASE("an unanswered question for the lifetime is repeated on a new connection")
+// Guards against starts that are refused for 0.7 s or more because one verification call was left unanswered.
+TEST_CASE("an unanswered verification call is repeated on a new connection")
 {
     Fixture f;
     f.timeout = 2s;
