nodeagent: limit the attempts to verify a connection in number

Cause: an executor that accepts connections and resets them fails a verification call at once, and only time limited the attempts (0.7 s).

Change: at most 3 attempts for a call; the agent then pauses as it did before.

--- a/src/lycheespool/nodeagent/verified_connections.h
+++ b/src/lycheespool/nodeagent/verified_connections.h
@@ -38,7 +38,10 @@
     /*! @brief Timeout of the first verification call; it doubles with each attempt on another connection. An answer
      * takes about 1 ms, and an executor that leaves some calls unanswered may answer the next one. */
     static constexpr Duration verificationTimeout = std::chrono::milliseconds { 100 };
-    /*! @brief Maximum time for all attempts to verify a connection. */
+    /*! @brief Maximum number of attempts for one call. An executor that resets its connections fails them at once, so
+     * time alone does not limit them. */
+    static constexpr unsigned maxVerificationAttempts = 3;
+    /*! @brief Maximum time for all attempts. */
     static constexpr Duration maxVerificationTime = std::chrono::milliseconds { 700 };
 
     /**
@@ -156,7 +159,7 @@
         const auto end = BootClock {}.now() + std::min(timeout, maxVerificationTime);
         auto attemptTimeout = std::min(timeout, verificationTimeout);
         ExecutorAnswer answer;
-        while (attemptTimeout > Duration {}) {
+        for (unsigned i = 0; i < maxVerificationAttempts && attemptTimeout > Duration {}; ++i) {
             auto connection = co_await m_transport.connect(attemptTimeout);
             if (!connection) {
                 acquired.answer.kind = ExecutorAnswerKind::unavailable;
--- a/test/lycheespool/nodeagent/verified_connections.cpp
+++ b/test/lycheespool/nodeagent/verified_connections.cpp
@@ -193,3 +193,13 @@
     CHECK(f.start(BootClock {}.now() + 10s).kind == ExecutorAnswerKind::accepted);
     CHECK(f.host.connections == 1);
 }
+
+// Guards against thousands of connections within a second to an executor that accepts and resets them.
+TEST_CASE("attempts to verify a connection are limited in number")
+{
+    Fixture f;
+    f.timeout = 2s;
+    f.host.present->isUp = false;
+    CHECK(f.start().kind == ExecutorAnswerKind::unavailable);
+    CHECK(f.host.connections == VerifiedConnections<FakeExecutorHost>::maxVerificationAttempts);
+}
