--- a/test/lycheespool/nodeagent/executor_restarts.cpp
+++ b/test/lycheespool/nodeagent/executor_restarts.cpp
@@ -66,7 +66,7 @@
 }
 
 // Guards against a task that runs twice: an executor that keeps the highest acknowledgement forgets its first ends as
-// they arise, after a single call with the number of its former lifetime (TWICE, users' record of cab-limon).
+// they arise, after a single call with the number of its former lifetime (TWICE, issue 48).
 TEST_CASE("a restarted executor never gets the acknowledgement of its former lifetime")
 {
     for (const bool isSilent : { true, false }) {
