nodeagent: log no acknowledgement that was not sent

Cause: a hold whose connection could not be verified was not sent, but its answer did not say so. The agent then logged ends_acknowledged for numbers that no executor had received, and not the call that later carried them.

Change: the answer of such a hold is marked like that of a verification call. Only the log changes.

--- a/src/lycheespool/nodeagent/executor_control.h
+++ b/src/lycheespool/nodeagent/executor_control.h
@@ -92,7 +92,7 @@
     /*! @brief Complete only if the executor is known to have listed all its runs and ends. */
     ListExtent extent { ListExtent::partial };
     /*! @brief The answer is that of a verification call, which carried neither the acknowledgement nor the lease of the
-     * request; the caller sends the request again. */
+     * request, or no connection was made; the caller sends the request again. */
     bool isVerification { false };
 };
 
--- a/src/lycheespool/nodeagent/verified_connections.h
+++ b/src/lycheespool/nodeagent/verified_connections.h
@@ -95,6 +95,7 @@
         if (!acquired.connection) {
             HoldAnswer rejected;
             rejected.answer = std::move(acquired.answer);
+            rejected.isVerification = true;
             co_return rejected;
         }
         if (acquired.verification) {
--- a/test/lycheespool/nodeagent/verified_connections.cpp
+++ b/test/lycheespool/nodeagent/verified_connections.cpp
@@ -104,6 +104,7 @@
     const auto list = f.hold(3);
     CHECK(list.answer.kind == ExecutorAnswerKind::wrongLifetime);
     CHECK(list.answer.startedUnixMs == startedUnixMs);
+    CHECK(list.isVerification);
     CHECK(f.host.present->starts.empty());
     CHECK(f.host.present->highestAcknowledged == 0);
 }
