gateway: log and count by which config, and of which age, calls are decided

Change: AccessControl takes the decision that ClientApi took, unchanged, with counters by outcome, a histogram of the config's age and lines when a config is no longer confirmed and when it is again. Submissions, cancellations and denied reads name version and age.

--- a/src/lycheespool/cli/role_gateway.cpp
+++ b/src/lycheespool/cli/role_gateway.cpp
@@ -13,6 +13,7 @@
 #include "lycheespool/controller/leader_host.h"
 #include "lycheespool/controller/rpc_holder_probe.h"
 #include "lycheespool/core/event_log.h"
+#include "lycheespool/gateway/access_control.h"
 #include "lycheespool/gateway/job_gateway.h"
 #include "lycheespool/net/http_server.h"
 #include "lycheespool/net/rpc_server.h"
@@ -31,6 +32,8 @@
 // Drain timeout for requests in flight after that; clients wait at most about this long.
 constexpr Duration drainTime = std::chrono::milliseconds { 2500 };
 
+constexpr Duration maxConfigAge = std::chrono::seconds { 2 };
+
 /*! @brief All parts of a gateway process. */
 class GatewayProcess {
 public:
@@ -41,7 +44,8 @@
         , m_watcher { m_store, platform::operatorSource(), [this] { m_leader->onOperatorChange(); } }
         , m_gateway { m_store, RowNames {}, metrics, ControllerSettings::maxValueBytes(settings.rowBytes) }
         , m_relay { pool.context().get_executor(), settings.internal, settings.seeds, metrics }
-        , m_api { m_gateway, m_watcher, m_relay }
+        , m_access { m_watcher, maxConfigAge, metrics }
+        , m_api { m_gateway, m_access, m_relay }
         , m_probe { metrics }
         , m_incarnation { generateIncarnation().value() }
         , m_leader { std::make_shared<Leader>(pool.context().get_executor(), m_store, m_probe, m_watcher, RowNames {},
@@ -104,8 +108,9 @@
         return response;
     }
 
-    [[nodiscard]] HttpResponse answerReady() const
+    [[nodiscard]] HttpResponse answerReady()
     {
+        (void)m_access.isCurrent();
         HttpResponse response;
         const bool isReady = !m_isDraining && m_watcher.state().config && m_gateway.isStoreReachable();
         response.status = isReady ? 200 : 503;
@@ -143,6 +148,7 @@
     OperatorWatcher<Store> m_watcher;
     JobGateway<Store> m_gateway;
     PeerRelay m_relay;
+    AccessControl<OperatorWatcher<Store>> m_access;
     platform::ClientApi<Store> m_api;
     RpcHolderProbe m_probe;
     std::uint64_t m_incarnation;
--- a/src/lycheespool/gateway/access.h
+++ b/src/lycheespool/gateway/access.h
@@ -2,12 +2,19 @@
 
 #include "lycheespool/cluster/operator_config.h"
 
+#include <cstdint>
 #include <string_view>
 
 namespace lycheespool {
 
 /*! @brief Decision whether a call may use a queue. */
-enum class AccessDecision : std::uint8_t { allowed, noQueue, unknownKey };
+enum class AccessDecision : std::uint8_t {
+    allowed,
+    noQueue,
+    unknownKey,
+    /*! @brief The config that is in force is not known. */
+    undecided,
+};
 
 /*! @brief Queue and workspace of a call; the pointers are valid as long as the config. */
 struct Access {
--- a/src/lycheespool/gateway/fwd.h
+++ b/src/lycheespool/gateway/fwd.h
@@ -4,6 +4,7 @@
 
 class JobDirectory;
 
+struct AccessResult;
 struct JobSummary;
 struct RetryContext;
 
--- a/test/platform/client_api.cpp
+++ b/test/platform/client_api.cpp
@@ -17,6 +17,8 @@
 
 namespace {
 
+constexpr Duration maxConfigAge = 2s;
+
 /*! @brief An entry whose store fails once its config is read, with a peer that returns one status for all calls. */
 class Fixture {
 public:
@@ -33,7 +35,8 @@
         , m_watcher { m_store, platform::operatorSource(), [] {} }
         , m_gateway { m_store, RowNames {}, m_metrics }
         , m_relay { m_pool.context().get_executor(), { "127.0.0.1", 1 }, { m_peer.address() }, m_metrics }
-        , m_api { m_gateway, m_watcher, m_relay }
+        , m_access { m_watcher, maxConfigAge, m_metrics }
+        , m_api { m_gateway, m_access, m_relay }
     {
         m_peer.start();
         const RowName name { "op", {}, "config" };
@@ -88,6 +91,7 @@
     OperatorWatcher<FakeRowStore> m_watcher;
     JobGateway<FakeRowStore> m_gateway;
     PeerRelay m_relay;
+    AccessControl<OperatorWatcher<FakeRowStore>> m_access;
     platform::ClientApi<FakeRowStore> m_api;
 };
 
@@ -109,7 +113,7 @@
 TEST_CASE("a request that an outdated config denies is neither denied nor relayed")
 {
     Fixture f { 200 };
-    std::this_thread::sleep_for(platform::ClientApi<FakeRowStore>::maxConfigAgeForDenial + 100ms);
+    std::this_thread::sleep_for(maxConfigAge + 100ms);
     CHECK(f.post("other") == 503);
     CHECK(f.relayed() == 0);
 }
