gateway: a config decides about calls only within the time in which changes must take effect (CONFIG)

Callers saw: keys and routes that the operators had removed still worked at an entry that the store did not serve, without any limit of time: queue counts, states and cancellations of ended jobs, calls passed on by another entry, and submissions whose partition answered while the operators' one did not. Cause: an outdated config could deny nothing after 2 s, but allow everything for ever. The bound was a constant and not configApplyMs. Class: decisions by cached state whose age is not part of the decision. Change: AccessControl is the one place that decides. A config that the store has not confirmed within configApplyMs, or that is older than a version seen from another entry, decides nothing: the call is passed on to an entry whose config is in force, or answered with 503 and Retry-After. Relayed calls carry the newest version that the sender knows, replies the one that decided, so that an entry may return the denial of a newer config and never goes back to its own. A config before an unreadable one still allows, and denies nothing. /ready follows. Old and new processes understand each other; a denial without a version is not returned, as before. Why it works: if the config was confirmed at c and decides at t <= c + configApplyMs, then every change acknowledged configApplyMs before the call was sent is part of it.

--- a/src/lycheespool/cli/role_gateway.cpp
+++ b/src/lycheespool/cli/role_gateway.cpp
@@ -32,8 +32,6 @@
 // Drain timeout for requests in flight after that; clients wait at most about this long.
 constexpr Duration drainTime = std::chrono::milliseconds { 2500 };
 
-constexpr Duration maxConfigAge = std::chrono::seconds { 2 };
-
 /*! @brief All parts of a gateway process. */
 class GatewayProcess {
 public:
@@ -44,7 +42,7 @@
         , m_watcher { m_store, platform::operatorSource(), [this] { m_leader->onOperatorChange(); } }
         , m_gateway { m_store, RowNames {}, metrics, ControllerSettings::maxValueBytes(settings.rowBytes) }
         , m_relay { pool.context().get_executor(), settings.internal, settings.seeds, metrics }
-        , m_access { m_watcher, maxConfigAge, metrics }
+        , m_access { m_watcher, settings.bounds.configApply, metrics }
         , m_api { m_gateway, m_access, m_relay }
         , m_probe { metrics }
         , m_incarnation { generateIncarnation().value() }
@@ -110,9 +108,8 @@
 
     [[nodiscard]] HttpResponse answerReady()
     {
-        (void)m_access.isCurrent();
         HttpResponse response;
-        const bool isReady = !m_isDraining && m_watcher.state().config && m_gateway.isStoreReachable();
+        const bool isReady = !m_isDraining && m_access.isCurrent() && m_gateway.isStoreReachable();
         response.status = isReady ? 200 : 503;
         return response;
     }
--- a/src/lycheespool/cluster/operator_state.h
+++ b/src/lycheespool/cluster/operator_state.h
@@ -14,6 +14,8 @@
 struct OperatorState {
     /*! @brief Null until the first config has been read. */
     std::shared_ptr<const OperatorConfig> config;
+    /*! @brief The stored config is newer than `config` and cannot be decoded. */
+    bool isConfigUnreadable { false };
     std::set<std::string> zonesOut;
 };
 
--- a/src/lycheespool/gateway/access_control.h
+++ b/src/lycheespool/gateway/access_control.h
@@ -8,6 +8,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <concepts>
 #include <cstdint>
@@ -17,6 +18,37 @@
 
 namespace lycheespool {
 
+/*! @brief What an entry knows about its config. */
+struct ConfigKnowledge {
+    /*! @brief Null until the first config has been read. */
+    std::shared_ptr<const OperatorConfig> config;
+    /*! @brief Time since the store last confirmed that the operators' rows have not changed. */
+    Duration age {};
+    /*! @brief A newer config is stored and cannot be decoded. */
+    bool isUnreadable { false };
+    /*! @brief Newest version that this process has learned of, from the store or from another entry. */
+    std::uint64_t newestVersion { 0 };
+
+    /*! @brief Version of the config, 0 if there is none. */
+    [[nodiscard]] std::uint64_t version() const { return config ? config->version : 0; }
+};
+
+/**
+ * @brief Checks if a config may decide about calls.
+ *
+ * A change is in force everywhere within a time after its acknowledgement. A config that the store confirmed within
+ * this time contains every change that is due, so an older one neither allows nor denies. An answer by a newer version
+ * has shown that version to the caller, so the process does not return to an older one.
+ *
+ * @param known What is known about the config.
+ * @param maxAge Time within which a change must take effect.
+ * @return True if the config may decide.
+ */
+[[nodiscard]] inline bool isInForce(const ConfigKnowledge& known, Duration maxAge)
+{
+    return known.config && known.age <= maxAge && known.version() >= known.newestVersion;
+}
+
 /**
  * @brief Provides the operators' state and the time since the store last confirmed it.
  */
@@ -31,16 +63,11 @@
         } -> std::same_as<Duration>;
 };
 
-/*! @brief A decision about a call, with the config that it relies on. */
+/*! @brief A decision about a call, with the config that it relies on; `known.config` keeps the pointers of `access`
+ * valid. */
 struct AccessResult {
-    /*! @brief Keeps the pointers of `access` valid; null if there is no config yet. */
-    std::shared_ptr<const OperatorConfig> config;
-    Access access;
-    /*! @brief Time since the store last confirmed the config. */
-    Duration configAge {};
-
-    /*! @brief Version of the config, 0 if there is none. */
-    [[nodiscard]] std::uint64_t version() const { return config ? config->version : 0; }
+    ConfigKnowledge known;
+    Access access { AccessDecision::undecided };
 };
 
 /**
@@ -53,7 +80,7 @@
     /**
      * @brief Creates the control.
      * @param source Provides the config; must outlive the control.
-     * @param maxConfigAge Age up to which a config is in force.
+     * @param maxConfigAge Time within which a config change must take effect.
      * @param metrics Registry for counters.
      */
     AccessControl(const Source& source, Duration maxConfigAge, Metrics& metrics)
@@ -75,39 +102,49 @@
      */
     [[nodiscard]] AccessResult check(std::string_view host, std::string_view path, std::string_view key)
     {
-        AccessResult result;
-        result.config = m_source.state().config;
-        result.configAge = m_source.age(BootClock {}.now());
-        isCurrent();
-        m_configAgeMs.record(std::chrono::duration<double, std::milli> { result.configAge }.count());
-        result.access.decision = AccessDecision::undecided;
-        if (result.config) {
-            result.access = checkAccess(*result.config, host, path, key);
-            // An outdated config must not deny what a newer one allows.
-            if (result.access.decision != AccessDecision::allowed && result.configAge > m_maxConfigAge)
+        AccessResult result { knowledge() };
+        m_configAgeMs.record(std::chrono::duration<double, std::milli> { result.known.age }.count());
+        if (isCurrent()) {
+            result.access = checkAccess(*result.known.config, host, path, key);
+            // A denial could be wrong for each caller that the unreadable config admits.
+            if (result.access.decision != AccessDecision::allowed && result.known.isUnreadable)
                 result.access.decision = AccessDecision::undecided;
         }
         count(result.access.decision);
         return result;
     }
 
-    /*! @brief Returns the newest known config, null if there is none. */
-    [[nodiscard]] std::shared_ptr<const OperatorConfig> config() const { return m_source.state().config; }
+    /*! @brief Returns the newest version that this process has learned of; calls must not be decided by an older one.
+     */
+    [[nodiscard]] std::uint64_t newestVersion() const { return knowledge().newestVersion; }
 
-    /*! @brief Checks if the config is in force, and logs when that changes. */
+    /**
+     * @brief Records the version by which another entry decided about a call of a client of this one.
+     * @param version The version.
+     */
+    void onVersionSeen(std::uint64_t version) { m_newestSeen = std::max(m_newestSeen, version); }
+
+    /*! @brief Checks if the config may decide about calls, and logs when that changes. */
     bool isCurrent()
     {
-        const auto age = m_source.age(BootClock {}.now());
-        const auto& config = m_source.state().config;
-        const bool isNowCurrent = config && age <= m_maxConfigAge;
+        const auto known = knowledge();
+        const bool isNowCurrent = isInForce(known, m_maxConfigAge);
         if (std::exchange(m_wasCurrent, isNowCurrent) != isNowCurrent)
             logEvent(isNowCurrent ? "config_current" : "config_outdated",
-                { { "config_version", config ? config->version : 0 },
-                    { "config_age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(age).count() } });
+                { { "config_version", known.version() }, { "newest_version", known.newestVersion },
+                    { "config_age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(known.age).count() } });
         return isNowCurrent;
     }
 
 private:
+    [[nodiscard]] ConfigKnowledge knowledge() const
+    {
+        const auto& state = m_source.state();
+        ConfigKnowledge known { state.config, m_source.age(BootClock {}.now()), state.isConfigUnreadable };
+        known.newestVersion = std::max(known.version(), m_newestSeen);
+        return known;
+    }
+
     void count(AccessDecision decision)
     {
         if (decision == AccessDecision::allowed)
@@ -120,6 +157,7 @@
 
     const Source& m_source;
     Duration m_maxConfigAge;
+    std::uint64_t m_newestSeen { 0 };
     bool m_wasCurrent { false };
     Counter& m_allowed;
     Counter& m_denied;
--- a/src/lycheespool/gateway/fwd.h
+++ b/src/lycheespool/gateway/fwd.h
@@ -5,6 +5,7 @@
 class JobDirectory;
 
 struct AccessResult;
+struct ConfigKnowledge;
 struct JobSummary;
 struct RetryContext;
 
--- a/src/lycheespool/wire/node_messages.h
+++ b/src/lycheespool/wire/node_messages.h
@@ -225,7 +225,9 @@
     std::string path;
     std::vector<std::pair<std::string, std::string>> fields;
     std::string body;
-    MSGPACK_DEFINE(method, path, fields, body)
+    /*! @brief Newest config version that the sender knows of; an older one must not decide about the call. */
+    std::uint64_t minConfigVersion { 0 };
+    MSGPACK_DEFINE(method, path, fields, body, minConfigVersion)
 };
 
 /*! @brief Answer to ClientCall. */
@@ -235,7 +237,9 @@
     unsigned status { 503 };
     std::vector<std::pair<std::string, std::string>> fields;
     std::string body;
-    MSGPACK_DEFINE(status, fields, body)
+    /*! @brief Version of the config that decided about the call; 0 if none did, or from a sender without this field. */
+    std::uint64_t configVersion { 0 };
+    MSGPACK_DEFINE(status, fields, body, configVersion)
 };
 
 }
