cluster: a watcher that fails goes on, and reads a list instead of the same feed call

Callers would see: an entry that answers by its last config until it is restarted, with no line in its log. Cause: the loops of a process are detached coroutines that caught Error only, so any other exception ended them without a trace; and a feed call that fails in the same way each time was repeated for ever. An empty answer of the feed confirmed the config for the whole wait even if it came before the wait was over (hypothesis 3). Change: keepRunning() logs loop_failed and starts a loop again: operators' rows, job states, settings, the leader's and the agent's loops. After any failure the watcher lists the operators' rows, which also answers at once. An early answer confirms only the time of its request. Rows of other partitions are passed over.

--- a/src/lycheespool/cli/role_gateway.cpp
+++ b/src/lycheespool/cli/role_gateway.cpp
@@ -16,6 +16,7 @@
 #include "lycheespool/gateway/access_control.h"
 #include "lycheespool/gateway/job_gateway.h"
 #include "lycheespool/net/http_server.h"
+#include "lycheespool/net/keep_running.h"
 #include "lycheespool/net/rpc_server.h"
 
 #include <optional>
@@ -67,10 +68,8 @@
                 co_return response;
             });
         const auto executor = pool.context().get_executor();
-        asio::co_spawn(
-            executor, [this]() -> Awaitable<> { co_await m_watcher.run(); }, asio::detached);
-        asio::co_spawn(
-            executor, [this]() -> Awaitable<> { co_await m_gateway.run(); }, asio::detached);
+        asio::co_spawn(executor, keepRunning("operator rows", [this] { return m_watcher.run(); }), asio::detached);
+        asio::co_spawn(executor, keepRunning("job states", [this] { return m_gateway.run(); }), asio::detached);
         m_leader->start();
         m_messages.start();
         m_metrics.start();
@@ -200,7 +199,7 @@
         GatewayProcess process { pool, settings, controllerSettings, metrics };
         SettingsReloader reload { settings, platform::readSettings,
             [&process](const std::vector<Address>& seeds) { process.setSeeds(seeds); } };
-        asio::co_spawn(pool.context(), reload.run(), asio::detached);
+        asio::co_spawn(pool.context(), keepRunning("settings", [&reload] { return reload.run(); }), asio::detached);
         code = runUntilSignal(
             signals, pool, [&] { return process.drain(); },
             [&] {
--- a/src/lycheespool/cli/role_node_agent.cpp
+++ b/src/lycheespool/cli/role_node_agent.cpp
@@ -9,6 +9,7 @@
 #include "lycheespool/core/error.h"
 #include "lycheespool/core/event_log.h"
 #include "lycheespool/net/http_server.h"
+#include "lycheespool/net/keep_running.h"
 #include "lycheespool/nodeagent/node_agent.h"
 #include "lycheespool/nodeagent/verified_connections.h"
 
@@ -69,7 +70,7 @@
         status.start();
         SettingsReloader reload { settings, platform::readSettings,
             [agent](const std::vector<Address>& seeds) { agent->setSeeds(seeds); } };
-        asio::co_spawn(pool.context(), reload.run(), asio::detached);
+        asio::co_spawn(pool.context(), keepRunning("settings", [&reload] { return reload.run(); }), asio::detached);
         code = runUntilSignal(
             signals, pool, [&] { return control.drain(drainTime); },
             [&] { asio::post(pool.context(), [&reload] { reload.check(true); }); });
--- a/src/lycheespool/cluster/operator_watcher.h
+++ b/src/lycheespool/cluster/operator_watcher.h
@@ -9,10 +9,13 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <chrono>
+#include <exception>
 #include <functional>
 #include <map>
 #include <string>
+#include <utility>
 
 namespace lycheespool {
 
@@ -54,8 +57,11 @@
             bool failed = false;
             try {
                 co_await step();
-            } catch (const Error& error) {
+            } catch (const std::exception& error) {
+                // Whatever was thrown, a watcher that ends would leave the process with an outdated config for good.
                 failed = true;
+                // A list answers at once, and also when the same feed call would fail again and again.
+                m_isListed = false;
                 if (!std::exchange(m_isUnreachable, true))
                     logEvent("operator_rows_unreachable", { { "reason", error.what() }, { "age_ms", ageMs() } });
             }
@@ -76,37 +82,44 @@
         if (!m_isListed) {
             RowRange range { m_source.table, {}, {}, {} };
             const auto list = co_await m_store.list(std::move(range), answerTimeout);
-            m_rows.clear();
+            std::map<std::string, std::string> rows;
             for (const auto& it : list.rows)
-                m_rows[it.name.key] = it.value;
+                rows[it.name.key] = it.value;
+            m_isApplied = m_isApplied && rows == m_rows;
+            m_rows = std::move(rows);
             m_version = list.version;
-            m_isListed = true;
-            apply();
-        } else {
-            std::string table = m_source.table;
-            // After a failure an immediate answer shows at once that the store is back.
-            const auto wait = m_isUnreachable ? Duration {} : changeWait;
-            const auto changes = co_await m_store.changes(std::move(table), m_version, wait, wait + answerTimeout);
-            if (changes.isHistoryLost) {
-                logEvent("operator_history_lost", { { "version", m_version } });
-                m_isListed = false;
-                co_return;
-            }
-            m_version = std::max(m_version, changes.version);
-            for (const auto& it : changes.rows) {
-                if (it.isRemoved)
-                    m_rows.erase(it.name.key);
-                else
-                    m_rows[it.name.key] = it.value;
-            }
-            if (!changes.rows.empty()) {
+            if (!m_isApplied)
                 apply();
-            } else {
-                // The store answers that nothing has changed only after the wait, which confirms the state until then.
-                m_confirmedAt = sent + wait;
-                co_return;
-            }
+            m_isListed = true;
+            m_confirmedAt = sent;
+            co_return;
+        }
+        std::string table = m_source.table;
+        const auto changes
+            = co_await m_store.changes(std::move(table), m_version, changeWait, changeWait + answerTimeout);
+        if (changes.isHistoryLost) {
+            logEvent("operator_history_lost", { { "version", m_version } });
+            m_isListed = false;
+            co_return;
+        }
+        m_version = std::max(m_version, changes.version);
+        if (changes.rows.empty()) {
+            // The store says that nothing has changed at the end of the wait; an earlier answer confirms less.
+            const bool hasWaited = BootClock {}.now() - sent >= changeWait;
+            m_confirmedAt = std::max(m_confirmedAt, hasWaited ? sent + changeWait : sent);
+            co_return;
+        }
+        for (const auto& it : changes.rows) {
+            // The feed covers all partitions of the table; the operators write to the empty one.
+            if (!it.name.partition.empty())
+                continue;
+            if (it.isRemoved)
+                m_rows.erase(it.name.key);
+            else
+                m_rows[it.name.key] = it.value;
         }
+        m_isApplied = false;
+        apply();
         m_confirmedAt = sent;
     }
 
@@ -136,6 +149,7 @@
         if (next.config && next.config->version < previousVersion)
             next.config = m_state.config;
         m_state = std::move(next);
+        m_isApplied = true;
         logEvent("operator_state_changed",
             { { "config_version", m_state.config ? m_state.config->version : 0 }, { "previous", previousVersion },
                 { "zones_out", m_state.zonesOut }, { "store_version", m_version } });
@@ -149,6 +163,8 @@
     OperatorState m_state;
     std::uint64_t m_version { 0 };
     bool m_isListed { false };
+    /*! @brief The state was decoded from `m_rows`. */
+    bool m_isApplied { false };
     bool m_isUnreachable { false };
     TimePoint m_confirmedAt { -std::chrono::hours { 24 } };
 };
--- a/src/lycheespool/controller/leader_host.h
+++ b/src/lycheespool/controller/leader_host.h
@@ -4,6 +4,7 @@
 #include "lycheespool/controller/controller.h"
 #include "lycheespool/controller/leadership.h"
 #include "lycheespool/controller/row_cleaner.h"
+#include "lycheespool/net/keep_running.h"
 #include "lycheespool/net/rpc_connection.h"
 #include "lycheespool/net/wake_up.h"
 #include "lycheespool/net/when_all.h"
@@ -83,8 +84,8 @@
     /*! @brief Starts the loops. */
     void start()
     {
-        spawn(&LeaderHost::leaseLoop);
-        spawn(&LeaderHost::workLoop);
+        spawn("lease loop", &LeaderHost::leaseLoop);
+        spawn("work loop", &LeaderHost::workLoop);
     }
 
     /**
@@ -161,11 +162,11 @@
 private:
     [[nodiscard]] static ClockReading clockReading() { return { BootClock {}.now(), unixMillis() }; }
 
-    void spawn(Awaitable<> (LeaderHost::*loop)())
+    void spawn(std::string name, Awaitable<> (LeaderHost::*loop)())
     {
         const auto self = this->shared_from_this();
         asio::co_spawn(
-            m_executor, [self, loop]() -> Awaitable<> { co_await ((*self).*loop)(); }, asio::detached);
+            m_executor, keepRunning(std::move(name), [self, loop] { return ((*self).*loop)(); }), asio::detached);
     }
 
     void closeConnections()
@@ -213,7 +214,7 @@
                     version = co_await rebuild(term);
                 else
                     version = co_await follow(term, *version);
-            } catch (const Error& error) {
+            } catch (const std::exception& error) {
                 failed = true;
                 if (!std::exchange(m_isSubmissionFeedDown, true))
                     logEvent("intake_unreachable",
@@ -356,7 +357,7 @@
                         co_return;
                     m_controller->removeJob(id);
                 }
-            } catch (const Error& error) {
+            } catch (const std::exception& error) {
                 logEvent("clean_up_failed", { { "epoch", m_leadership.epoch().value() }, { "reason", error.what() } });
             }
         }
--- a/src/lycheespool/gateway/job_gateway.h
+++ b/src/lycheespool/gateway/job_gateway.h
@@ -213,7 +213,7 @@
             bool failed = false;
             try {
                 co_await followStates();
-            } catch (const Error& error) {
+            } catch (const std::exception& error) {
                 failed = true;
                 if (!std::exchange(m_isStoreDown, true))
                     logEvent("states_unreachable", { { "reason", error.what() }, { "age_ms", stateAgeMs() } });
--- a/src/lycheespool/nodeagent/node_agent.h
+++ b/src/lycheespool/nodeagent/node_agent.h
@@ -6,6 +6,7 @@
 #include "lycheespool/core/event_log.h"
 #include "lycheespool/core/metrics.h"
 #include "lycheespool/net/connect.h"
+#include "lycheespool/net/keep_running.h"
 #include "lycheespool/net/rpc_connection.h"
 #include "lycheespool/net/sleep.h"
 #include "lycheespool/net/wake_up.h"
@@ -92,8 +93,8 @@
     /*! @brief Starts the report loop and the lease loop. */
     void start()
     {
-        spawn(&NodeAgent::leaderLoop);
-        spawn(&NodeAgent::holdLoop);
+        spawn("leader loop", &NodeAgent::leaderLoop);
+        spawn("hold loop", &NodeAgent::holdLoop);
     }
 
     /*! @copydoc LeaderFinder::setSeeds */
@@ -153,11 +154,11 @@
     }
 
 private:
-    void spawn(Awaitable<> (NodeAgent::*loop)())
+    void spawn(std::string name, Awaitable<> (NodeAgent::*loop)())
     {
         const auto self = this->shared_from_this();
         asio::co_spawn(
-            m_executor, [self, loop]() -> Awaitable<> { co_await ((*self).*loop)(); }, asio::detached);
+            m_executor, keepRunning(std::move(name), [self, loop] { return ((*self).*loop)(); }), asio::detached);
     }
 
     /*! @brief Makes an announcement the known state of the executor; a new lifetime starts with empty lists. */
