controller: derive the age of the operators' state for starts from configApplyMs

Callers saw nothing: on deployments with 2 s the bound stays 1.6 s; with 3 s it is 2.4 s, so a slow store stops starts later; with less than 1.6 s, starts relied on rows older than the deployment allows. Change: four fifths of configApplyMs, as 1.6 s is of 2 s.

--- a/src/lycheespool/controller/leader_host.h
+++ b/src/lycheespool/controller/leader_host.h
@@ -43,8 +43,6 @@
     static constexpr Duration retryPause = std::chrono::milliseconds { 150 };
     /*! @brief Timeout for the answer of an agent; it covers the agent's own retries to the executor. */
     static constexpr Duration orderTimeout = std::chrono::milliseconds { 4000 };
-    /*! @brief Maximum age of the operator state for a start; well below the time in which changes must apply. */
-    static constexpr Duration operatorStateAge = std::chrono::milliseconds { 1600 };
     /*! @brief Interval between two removals of old rows. */
     static constexpr Duration cleanUpInterval = std::chrono::seconds { 5 };
     /*! @brief Maximum number of jobs removed per cleanup; 12,000 jobs a day need one removal every 7 s. */
@@ -169,6 +167,10 @@
             m_executor, keepRunning(std::move(name), [self, loop] { return ((*self).*loop)(); }), asio::detached);
     }
 
+    /*! @brief Returns the maximum age of the operators' state for a start; the rest of the bound is left for the order
+     * to reach the executor. */
+    [[nodiscard]] Duration maxOperatorStateAge() const { return m_settings.bounds.configApply * 4 / 5; }
+
     void closeConnections()
     {
         for (const auto& [node, connection] : std::exchange(m_connections, {}))
@@ -386,7 +388,7 @@
     {
         const auto& state = m_watcher.state();
         m_controller->superviseRuns(now);
-        if (!state.config || m_watcher.age(now.steady) > operatorStateAge)
+        if (!state.config || m_watcher.age(now.steady) > maxOperatorStateAge())
             return std::nullopt;
         m_controller->setConfig(state.config);
         m_controller->setZonesOutOfService(state.zonesOut);
@@ -451,7 +453,7 @@
         const auto now = clockReading();
         const auto& state = m_watcher.state();
         if (!m_controller || !m_leadership.isHeld(now.steady) || !state.config
-            || m_watcher.age(now.steady) > operatorStateAge)
+            || m_watcher.age(now.steady) > maxOperatorStateAge())
             return;
         m_controller->setZonesOutOfService(state.zonesOut);
         for (auto& [node, orders] : m_controller->takeOrders(now)) {
