net: a call of HttpClient ends at its timeout, also when it connects or is repeated

Callers saw: nothing known; a call could take its timeout for connecting, once more for the answer, and both again if the idle connection had ended, up to four times in all. Cause: each part of a call got the whole timeout, against the documented meaning. Change: one deadline for all parts. Tests: "a call that is repeated over a new connection ends at its timeout" took 2.2 s before, its limit is 2.1 s.

--- a/src/lycheespool/net/http_client.cpp
+++ b/src/lycheespool/net/http_client.cpp
@@ -3,6 +3,8 @@
 #include "lycheespool/core/error.h"
 #include "lycheespool/net/http_connection.h"
 
+#include <algorithm>
+#include <chrono>
 #include <mutex>
 #include <unordered_map>
 #include <utility>
@@ -70,18 +72,22 @@
 Awaitable<HttpResponse> HttpClient::send(HttpRequest request, Duration timeout)
 {
     const auto state = m_state;
+    const auto deadline = SteadyClock {}.now() + timeout;
+    // A connection or call with no time left still ends with an error of its own.
+    const auto remaining
+        = [deadline] { return std::max<Duration>(deadline - SteadyClock {}.now(), std::chrono::milliseconds { 1 }); };
     const auto executor = co_await asio::this_coro::executor;
     auto connection = state->takeIdle(executor);
     bool isReused = connection != nullptr;
     while (true) {
         boost::system::error_code ec;
         if (!connection)
-            connection = co_await HttpConnection::open(state->address, timeout, ec);
+            connection = co_await HttpConnection::open(state->address, remaining(), ec);
         if (ec)
             throw Error { ErrorKind::unavailable,
                 "cannot connect to " + state->address.toString() + ": " + ec.message(),
                 "check that the server runs and that the address is right" };
-        auto response = co_await connection->send(request, timeout, ec);
+        auto response = co_await connection->send(request, remaining(), ec);
         if (response) {
             if (connection->isOpen())
                 state->keepIdle(executor, std::move(connection));
--- a/test/lycheespool/net/http_client.cpp
+++ b/test/lycheespool/net/http_client.cpp
@@ -101,3 +101,43 @@
     CHECK(next.get() == 200);
     pool.stop();
 }
+
+// Guards against a call that takes its timeout once for the idle connection, and again for the connection after it.
+TEST_CASE("a call that is repeated over a new connection ends at its timeout")
+{
+    static constexpr Duration closeTime = 1000ms;
+    static constexpr Duration timeout = 1200ms;
+    IoPool pool { 1 };
+    asio::ip::tcp::acceptor acceptor { pool.context(), { asio::ip::make_address("127.0.0.1"), 0 } };
+    const Address address { "127.0.0.1", acceptor.local_endpoint().port() };
+    const auto serve = [&acceptor]() -> Awaitable<> {
+        constexpr std::string_view answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+        std::array<char, 4096> buf {};
+        auto first = co_await acceptor.async_accept(asio::use_awaitable);
+        co_await first.async_read_some(asio::buffer(buf), asio::use_awaitable);
+        co_await asio::async_write(first, asio::buffer(answer), asio::use_awaitable);
+        co_await first.async_read_some(asio::buffer(buf), asio::use_awaitable);
+        co_await sleepFor(closeTime);
+        first.close();
+        auto second = co_await acceptor.async_accept(asio::use_awaitable);
+        co_await sleepFor(10 * timeout);
+    };
+    asio::co_spawn(pool.context(), serve, asio::detached);
+    HttpClient client { address };
+    const auto get = [&client]() -> Awaitable<unsigned> {
+        HttpRequest request;
+        request.method = "GET";
+        request.path = "/";
+        try {
+            const auto response = co_await client.send(std::move(request), timeout);
+            co_return response.status;
+        } catch (const Error&) {
+            co_return failedCall;
+        }
+    };
+    CHECK(asio::co_spawn(pool.context(), get, asio::use_future).get() == 200);
+    const auto sent = SteadyClock {}.now();
+    CHECK(asio::co_spawn(pool.context(), get, asio::use_future).get() == failedCall);
+    CHECK(SteadyClock {}.now() - sent < closeTime + timeout - 100ms);
+    pool.stop();
+}
