soak: an operator who changes routes and keys, and a checker of both rules on configs

Cause: the soak wrote one config before all and never changed it, so no run of ours could find an entry that uses an old one. Change: ConfigOperator writes versions at random and probes all gateways with queue counts; ConfigChecker judges the answers.

--- a/test/soak/deployment.cpp
+++ b/test/soak/deployment.cpp
@@ -1,5 +1,6 @@
 #include "soak/deployment.h"
 
+#include "soak/config_checker.h"
 #include "soak/emulator_faults.h"
 #include "soak/soak_bounds.h"
 
@@ -37,22 +38,36 @@
 // Exit code of a process whose settings are not valid.
 constexpr int invalidSettingsCode = 2;
 
-std::string initialConfig()
+nlohmann::json routeOf(const std::string& name, const std::string& path)
 {
+    return { { "name", name }, { "host", queueHost }, { "pathPrefix", path }, { "service", "service-a" },
+        { "priority", 0 }, { "maxAttempts", maxAttempts }, { "stretch", 1.5 }, { "targetLatencyMs", 1000 } };
+}
+
+}
+
+std::string probePath(std::uint64_t version) { return fmt::format("/added-{}/", version); }
+
+std::string probeKey(std::uint64_t version) { return fmt::format("key-{}", version); }
+
+std::string configText(std::uint64_t version)
+{
+    auto routes = nlohmann::json::array({ routeOf("queue-a", queuePath) });
+    auto keys = nlohmann::json::array({ clientKey });
+    for (auto added = version < probeLifetime ? 1 : version - probeLifetime + 1; added <= version; ++added) {
+        routes.push_back(routeOf(fmt::format("added-{}", added), probePath(added)));
+        keys.push_back(probeKey(added));
+    }
     return nlohmann::json {
-        { "version", 1 },
-        { "routes",
-            { { { "name", "queue-a" }, { "host", queueHost }, { "pathPrefix", queuePath }, { "service", "service-a" },
-                { "priority", 0 }, { "maxAttempts", maxAttempts }, { "stretch", 1.5 },
-                { "targetLatencyMs", 1000 } } } },
+        { "version", version },
+        { "routes", std::move(routes) },
         { "services", { { { "name", "service-a" }, { "enforcesCapacity", false } } } },
-        { "tenants", { { { "name", "tenant-a" }, { "apiKeys", { clientKey } }, { "guaranteed", { { "gpu", 4 } } } } } },
+        { "tenants",
+            { { { "name", "tenant-a" }, { "apiKeys", std::move(keys) }, { "guaranteed", { { "gpu", 4 } } } } } },
     }
         .dump();
 }
 
-}
-
 std::string zoneOf(std::size_t index) { return fmt::format("zone-{}", index % zoneCount); }
 
 SupervisedProcess::SupervisedProcess(std::string name, std::string role, std::filesystem::path directory)
@@ -66,6 +81,7 @@
 {
     m_process = std::make_unique<test::ChildProcess>(std::vector<std::string> { m_role },
         test::ChildOptions { { "LYCHEESPOOL_SETTINGS=" + settingsPath().string() }, m_directory / (m_name + ".log") });
+    ++m_starts;
     m_isEndExpected = false;
     m_wasPaused = false;
     m_killAt = TimePoint::max();
@@ -152,7 +168,7 @@
         { "bounds",
             { { "maxHoldMs", toMs(maxLease) }, { "stopTimeoutMs", toMs(stopTime) },
                 { "gangTimeoutMs", toMs(gangAssembly) }, { "restoreMs", toMs(restoreTime) },
-                { "checkpointS", toMs(checkpointInterval) / 1000 }, { "configApplyMs", 3000 },
+                { "checkpointS", toMs(checkpointInterval) / 1000 }, { "configApplyMs", toMs(configApplyBound) },
                 { "graceS", toMs(stopGrace) / 1000 }, { "status_s", toMs(statusRetention) / 1000 },
                 { "remoteFactor", 3 } } } };
 }
@@ -207,7 +223,7 @@
 
 Awaitable<> Deployment::start()
 {
-    co_await store.writeForOperator("config", initialConfig());
+    co_await store.writeForOperator("config", configText(1));
     for (auto& it : gateways) {
         rewriteSettings(it.process, it.settings, 0);
         it.process.start();
--- a/test/soak/deployment.h
+++ b/test/soak/deployment.h
@@ -38,6 +38,8 @@
     /*! @brief Writes settings that cannot be parsed; a running process ignores them, one that starts exits with 2. */
     void breakSettings();
     [[nodiscard]] const std::string& name() const { return m_name; }
+    /*! @brief Number of starts so far. */
+    [[nodiscard]] unsigned starts() const { return m_starts; }
 
 private:
     [[nodiscard]] std::filesystem::path settingsPath() const { return m_directory / (m_name + ".json"); }
@@ -46,6 +48,7 @@
     std::string m_role;
     std::filesystem::path m_directory;
     TimePoint m_startedAt {};
+    unsigned m_starts { 0 };
     bool m_hasBrokenSettings { false };
     /*! @brief The settings were broken while the process started, so it may exit with 2. */
     bool m_mayRefuseSettings { false };
@@ -109,6 +112,13 @@
 /*! @brief Returns the name of the zone of the gateway or executor with this index. */
 [[nodiscard]] std::string zoneOf(std::size_t index);
 
+/*! @brief Returns the text of a config version; it contains the probed routes and keys that exist in it. */
+[[nodiscard]] std::string configText(std::uint64_t version);
+/*! @brief Returns the path of the route that a config version added. */
+[[nodiscard]] std::string probePath(std::uint64_t version);
+/*! @brief Returns the key that a config version added. */
+[[nodiscard]] std::string probeKey(std::uint64_t version);
+
 /*! @brief Number of zones. */
 inline constexpr std::size_t zoneCount = 3;
 /*! @brief Host, path and API key that clients send. */
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -1,4 +1,5 @@
 #include "soak/clients.h"
+#include "soak/config_operator.h"
 #include "soak/fault_injector.h"
 #include "soak/soak_bounds.h"
 
@@ -47,13 +48,14 @@
     }
 }
 
-Awaitable<> runScenario(
-    Deployment& deployment, Clients& clients, FaultInjector& faultInjector, InvariantChecker& checker, Duration length)
+Awaitable<> runScenario(Deployment& deployment, Clients& clients, ConfigOperator& configOperator,
+    FaultInjector& faultInjector, InvariantChecker& checker, Duration length)
 {
     co_await deployment.start();
     const auto executor = co_await asio::this_coro::executor;
     asio::co_spawn(executor, supervise(deployment, checker), asio::detached);
     asio::co_spawn(executor, clients.run(), asio::detached);
+    asio::co_spawn(executor, configOperator.run(), asio::detached);
     co_await sleepFor(warmUpTime);
     co_await faultInjector.run(length);
     clients.stop();
@@ -88,9 +90,11 @@
     IoPool pool { 1 };
     Deployment deployment { pool, settings, checker };
     Clients clients { pool, deployment, checker, settings.seed };
+    ConfigOperator configOperator { pool, deployment, checker, settings.seed };
     FaultInjector faultInjector { pool, deployment, checker, settings.seed };
     asio::co_spawn(pool.context(), stopOnSignal(deployment), asio::detached);
-    asio::co_spawn(pool.context(), runScenario(deployment, clients, faultInjector, checker, length), asio::use_future)
+    asio::co_spawn(pool.context(), runScenario(deployment, clients, configOperator, faultInjector, checker, length),
+        asio::use_future)
         .get();
     pool.stop();
     deployment.stop();
@@ -99,8 +103,10 @@
         journal << it << '\n';
     const auto [served, calls] = clients.served();
     return { checker.violations(),
-        fmt::format("{} jobs accepted, {} completed, {} starts, {} of {} calls served, {} faults", checker.accepted(),
-            checker.completed(), checker.starts(), served, calls, faultInjector.journal().size()) };
+        fmt::format(
+            "{} jobs accepted, {} completed, {} starts, {} of {} calls served, {} configs, {} config probes, {} faults",
+            checker.accepted(), checker.completed(), checker.starts(), served, calls, configOperator.versions(),
+            configOperator.probes(), faultInjector.journal().size()) };
 }
 
 }
