entry: exceptions of any type end no loop of the product's own entry

The entry limits the age of its document (freshness.h), so it would have started nothing rather than used an old document. Change: they catch every exception, count it and go on.

--- a/src/lycheespool/document/document_watcher.h
+++ b/src/lycheespool/document/document_watcher.h
@@ -94,7 +94,7 @@
                 log(LogLevel::info, "document: revision {} in effect", m_cache.state()->head.revision.value());
             if (std::exchange(m_isFailing, false))
                 log(LogLevel::info, "document: can be read again");
-        } catch (const Error& error) {
+        } catch (const std::exception& error) {
             m_failures.add();
             if (!std::exchange(m_isFailing, true))
                 log(LogLevel::warning, "document: cannot be read; nothing is started after {} s: {}",
--- a/src/lycheespool/entry/entry_process.cpp
+++ b/src/lycheespool/entry/entry_process.cpp
@@ -164,6 +164,10 @@
         m_metrics.counter("document_read_failures_total").add();
         if (error.kind() != ErrorKind::unavailable)
             log(LogLevel::error, "cannot use the document: {}", error.what());
+    } catch (const std::exception& error) {
+        // An exception that leaves this place would end watchDocument().
+        m_metrics.counter("document_read_failures_total").add();
+        log(LogLevel::error, "cannot read the document: {}", error.what());
     }
     asio::post(m_pool.context(), [this] { applyDocument(); });
 }
--- a/src/lycheespool/entry/entry_registry.h
+++ b/src/lycheespool/entry/entry_registry.h
@@ -53,7 +53,7 @@
                 if (SteadyClock {}.now() >= m_nextRenewal)
                     co_await renew();
                 co_await list();
-            } catch (const Error&) {
+            } catch (const std::exception&) {
                 // The previous list remains in use while the table is unavailable.
                 ++m_failures;
             }
