--- a/src/lycheespool/cluster/node_settings.h
+++ b/src/lycheespool/cluster/node_settings.h
@@ -25,6 +25,8 @@
     Duration checkpointInterval { std::chrono::seconds { 1 } };
     /*! @brief A config change must take effect within this time after its acknowledgement. */
     Duration configApply { std::chrono::seconds { 2 } };
+    /*! @brief No task of a job starts later than this after the acknowledgement of its cancellation. */
+    Duration cancelApply { std::chrono::seconds { 3 } };
     /*! @brief Time between SIGTERM and SIGKILL. */
     Duration stopGrace { std::chrono::seconds { 6 } };
     /*! @brief Minimum time for which the state of an ended job remains readable. */
--- a/src/lycheespool/controller/leader_host.h
+++ b/src/lycheespool/controller/leader_host.h
@@ -171,6 +171,21 @@
      * to reach the executor. */
     [[nodiscard]] Duration maxOperatorStateAge() const { return m_settings.bounds.configApply * 4 / 5; }
 
+    /*! @brief Returns the maximum age of the known cancellations for a start. */
+    [[nodiscard]] Duration maxIntakeAge() const { return m_settings.bounds.cancelApply * 3 / 5; }
+
+    /*! @brief Checks if the operators' state and the cancellations are known well enough for starts. */
+    [[nodiscard]] bool mayStart(const ClockReading& now)
+    {
+        const auto intakeAge = now.steady - m_intakeConfirmedAt;
+        const bool isIntakeCurrent = intakeAge <= maxIntakeAge();
+        if (std::exchange(m_wasIntakeCurrent, isIntakeCurrent) != isIntakeCurrent)
+            logEvent(isIntakeCurrent ? "intake_current" : "intake_outdated",
+                { { "epoch", m_leadership.epoch().value() },
+                    { "age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(intakeAge).count() } });
+        return isIntakeCurrent && m_watcher.state().config && m_watcher.age(now.steady) <= maxOperatorStateAge();
+    }
+
     void closeConnections()
     {
         for (const auto& [node, connection] : std::exchange(m_connections, {}))
@@ -231,6 +246,7 @@
 
     [[nodiscard]] Awaitable<std::uint64_t> rebuild(std::uint64_t term)
     {
+        const auto sent = BootClock {}.now();
         std::vector<Awaitable<RowList>> reads;
         reads.reserve(RowNames::submissionShards + 1);
         for (unsigned shard = 0; shard < RowNames::submissionShards; ++shard)
@@ -274,6 +290,7 @@
         m_orphans = findOrphanedProgress(submissions, progress);
         m_listedVersion = newestVersion;
         m_followedVersion = 0;
+        m_intakeConfirmedAt = sent;
         logEvent("state_rebuilt",
             { { "epoch", m_leadership.epoch().value() }, { "jobs", m_controller->jobs().size() },
                 { "runs", m_controller->liveRuns().size() }, { "store_version", submissions.version } });
@@ -292,6 +309,7 @@
         std::string table { RowNames::submissionTable };
         // After a failure an immediate answer shows at once that the store is back.
         const auto wait = m_isSubmissionFeedDown ? Duration {} : feedWait;
+        const auto sent = BootClock {}.now();
         const auto changes = co_await m_store.changes(std::move(table), after, wait, wait + answerTimeout);
         if (changes.isHistoryLost) {
             logEvent("intake_history_lost", { { "version", after } });
@@ -308,6 +326,9 @@
         }
         for (const auto& it : changes.rows)
             applyCancellation(it, now);
+        // The store says that nothing has changed at the end of the wait; an earlier answer confirms less.
+        const bool hasWaited = changes.rows.empty() && now.steady - sent >= wait;
+        m_intakeConfirmedAt = hasWaited ? sent + wait : sent;
         if (!changes.rows.empty())
             m_wakeUp.wake();
         co_return std::max(after, changes.version);
@@ -388,7 +409,7 @@
     {
         const auto& state = m_watcher.state();
         m_controller->superviseRuns(now);
-        if (!state.config || m_watcher.age(now.steady) > maxOperatorStateAge())
+        if (!mayStart(now))
             return std::nullopt;
         m_controller->setConfig(state.config);
         m_controller->setZonesOutOfService(state.zonesOut);
@@ -452,8 +473,7 @@
     {
         const auto now = clockReading();
         const auto& state = m_watcher.state();
-        if (!m_controller || !m_leadership.isHeld(now.steady) || !state.config
-            || m_watcher.age(now.steady) > maxOperatorStateAge())
+        if (!m_controller || !m_leadership.isHeld(now.steady) || !mayStart(now))
             return;
         m_controller->setZonesOutOfService(state.zonesOut);
         for (auto& [node, orders] : m_controller->takeOrders(now)) {
@@ -508,6 +528,9 @@
     /*! @brief Newest store version of the lists that the state was rebuilt from, and of the changes applied since. */
     std::uint64_t m_listedVersion { 0 };
     std::uint64_t m_followedVersion { 0 };
+    /*! @brief Time up to which all submissions and cancellations are known. */
+    TimePoint m_intakeConfirmedAt { -std::chrono::hours { 24 } };
+    bool m_wasIntakeCurrent { true };
     std::vector<RowCondition> m_orphans;
     bool m_isSubmissionFeedDown { false };
     LatencyHistogram& m_commitMs;
--- a/test/soak/deployment.cpp
+++ b/test/soak/deployment.cpp
@@ -169,8 +169,8 @@
             { { "maxHoldMs", toMs(maxLease) }, { "stopTimeoutMs", toMs(stopTime) },
                 { "gangTimeoutMs", toMs(gangAssembly) }, { "restoreMs", toMs(restoreTime) },
                 { "checkpointS", toMs(checkpointInterval) / 1000 }, { "configApplyMs", toMs(configApplyBound) },
-                { "graceS", toMs(stopGrace) / 1000 }, { "status_s", toMs(statusRetention) / 1000 },
-                { "remoteFactor", 3 } } } };
+                { "cancel_ms", toMs(cancelBound) }, { "graceS", toMs(stopGrace) / 1000 },
+                { "status_s", toMs(statusRetention) / 1000 }, { "remoteFactor", 3 } } } };
 }
 
 void Deployment::addGateway(std::size_t index)
