--- a/test/platform/client_api.cpp
+++ b/test/platform/client_api.cpp
@@ -152,6 +152,14 @@
     CHECK(f.relayedVersion() == ownVersion + 1);
 }
 
+// Guards against a denial of a job that may still be stored by the entry's own attempt (REFUSED).
+TEST_CASE("a job whose commit is not answered is not called denied, even if another entry denies it")
+{
+    Fixture f { 404, Fixture::StoreFault::silent, ownVersion + 1 };
+    CHECK(f.post("h") == 504);
+    CHECK(f.relayed() == 1);
+}
+
 // Guards against an entry that serves the clients of another one by a config older than the one they have seen.
 TEST_CASE("a relayed call is not decided by a config older than that of the sender")
 {
