--- a/src/lycheespool/controller/leader_host.h
+++ b/src/lycheespool/controller/leader_host.h
@@ -171,7 +171,8 @@
      * to reach the executor. */
     [[nodiscard]] Duration maxOperatorStateAge() const { return m_settings.bounds.configApply * 4 / 5; }
 
-    /*! @brief Returns the maximum age of the known cancellations for a start. */
+    /*! @brief Returns the maximum age of the known cancellations for a start; the rest of the bound is left for the
+     * order to reach the executor. */
     [[nodiscard]] Duration maxIntakeAge() const { return m_settings.bounds.cancelApply * 3 / 5; }
 
     /*! @brief Checks if the operators' state and the cancellations are known well enough for starts. */
--- a/src/lycheespool/gateway/access_control.h
+++ b/src/lycheespool/gateway/access_control.h
@@ -119,12 +119,12 @@
     [[nodiscard]] std::uint64_t newestVersion() const { return knowledge().newestVersion; }
 
     /**
-     * @brief Records the version by which another entry decided about a call of a client of this one.
+     * @brief Records a version that another entry knows: the one by which it decided, or the one that it requires.
      * @param version The version.
      */
     void onVersionSeen(std::uint64_t version) { m_newestSeen = std::max(m_newestSeen, version); }
 
-    /*! @brief Checks if the config may decide about calls, and logs when that changes. */
+    /*! @brief Checks if the config may decide about calls, and logs when that has changed since the previous check. */
     bool isCurrent()
     {
         const auto known = knowledge();
--- a/src/lycheespool/gateway/peer_relay.h
+++ b/src/lycheespool/gateway/peer_relay.h
@@ -30,7 +30,8 @@
 };
 
 /**
- * @brief Forwards clients' calls to other entries while the store does not serve this one.
+ * @brief Forwards clients' calls to other entries while the store does not serve this one, or its config is not in
+ * force.
  *
  * Designed for the case that the store refuses some entries: the others serve their clients, which need not retry. Must
  * be used from one thread.
--- a/src/lycheespool/wire/node_messages.h
+++ b/src/lycheespool/wire/node_messages.h
@@ -237,7 +237,8 @@
     unsigned status { 503 };
     std::vector<std::pair<std::string, std::string>> fields;
     std::string body;
-    /*! @brief Version of the config that decided about the call; 0 if none did, or from a sender without this field. */
+    /*! @brief Version of the config that decided about the call, or the newest known one if none decided; 0 from a
+     * sender without this field. */
     std::uint64_t configVersion { 0 };
     MSGPACK_DEFINE(status, fields, body, configVersion)
 };
--- a/test/soak/config_operator.h
+++ b/test/soak/config_operator.h
@@ -18,7 +18,7 @@
 public:
     ConfigOperator(IoPool& pool, Deployment& deployment, InvariantChecker& checker, std::uint64_t seed);
 
-    /*! @brief Writes new versions until it is stopped; the pauses are random. */
+    /*! @brief Writes new versions at random intervals; never returns. */
     [[nodiscard]] Awaitable<> run();
     [[nodiscard]] std::uint64_t versions() const { return m_configs.newestSent(); }
     [[nodiscard]] std::size_t probes() const { return m_configs.probes(); }
