--- a/src/lycheespool/controller/controller.h
+++ b/src/lycheespool/controller/controller.h
@@ -228,6 +228,19 @@
         std::uint32_t step { 0 };
         std::vector<std::uint32_t> indices;
         StartRequest request;
+
+        /*! @brief Returns the name of the first task, which stands for the step. */
+        [[nodiscard]] TaskName name() const;
+    };
+
+    /*! @brief Numbers of the waiting steps by the name of their first task. */
+    using StepNumbers = std::map<TaskName, std::size_t>;
+
+    /*! @brief Forecast of the whole run time of a run. */
+    struct RunForecast {
+        DurationForecast whole;
+        /*! @brief Time for which it has worked, ms. */
+        double elapsedMs { 0 };
     };
 
     /*! @brief Runs that may be evicted. */
@@ -287,8 +300,9 @@
     [[nodiscard]] Duration runTimeUpperBound(const ManagedWorkload& job, const StepSpec& step) const;
     [[nodiscard]] std::optional<TimePoint> gangStartTime(const ManagedWorkload& job, const RunKey& key) const;
     void stopStalled(const RunKey& key, LiveRun& run, const ClockReading& now);
-    [[nodiscard]] DurationForecast remainingRunTime(
+    [[nodiscard]] RunForecast forecastOfRun(
         const ManagedWorkload& job, const RunKey& key, const LiveRun& run, TimePoint now) const;
+    [[nodiscard]] double timeUntilReleaseMs(const RunKey& key, const LiveRun& run, TimePoint now) const;
     void moveFromDepartingNode(const RunKey& key, LiveRun& run, const ClockReading& now);
 
     // Planning.
@@ -308,14 +322,17 @@
     void recordWork(ExecutorView& node, const LiveRun& run, TimePoint now);
     void recordSuccess(ExecutorView& node, const LiveRun& run, const ClockReading& now);
     void startSuspicion(ExecutorView& node, bool isFailedProbe, TimePoint now);
-    [[nodiscard]] EvictableRuns evictableRuns(TimePoint now) const;
+    [[nodiscard]] EvictableRuns evictableRuns(const StepNumbers& steps, TimePoint now) const;
     [[nodiscard]] std::size_t unavailableTasks(
         const ManagedWorkload& job, const TaskPosition& position, TimePoint now) const;
     [[nodiscard]] std::map<std::string, std::vector<NodeCapacity>> plannerNodes(
         const EvictableRuns& evictable, TimePoint now) const;
     void planService(const std::string& service, std::vector<NodeCapacity> nodes, const EvictableRuns& evictable,
         std::vector<WaitingStep>& waiting, const ClockReading& now);
-    void startRuns(WaitingStep& waiting, const std::vector<std::string>& nodes, const ClockReading& now);
+    void logReservations(const StartPlan& plan, const std::vector<std::size_t>& positions,
+        const std::vector<std::string>& names, const std::vector<WaitingStep>& waiting);
+    void startRuns(WaitingStep& waiting, const std::vector<std::string>& nodes,
+        const std::map<std::string, TaskName>& yieldsTo, const ClockReading& now);
     [[nodiscard]] double evictionCost(const RunKey& key, const LiveRun& run, TimePoint now) const;
     [[nodiscard]] RunOrder orderFor(const RunKey& key, const LiveRun& run);
     void withdrawStartsBeyondCapacity();
@@ -339,6 +356,10 @@
     std::string m_lastStoredJob;
     /*! @brief Number of rows that are still to be written one by one. */
     std::size_t m_singleWrites { 0 };
+    /*! @brief Steps that the latest plan reserved executors for, and steps that waited for reservations, with the
+     * reserving step; each is logged once. */
+    std::set<TaskName> m_reservingSteps;
+    std::map<TaskName, TaskName> m_delayedSteps;
     DurationModel m_durations;
     NodeSpeeds m_speeds;
     Counter& m_runsPlanned;
@@ -352,6 +373,9 @@
     Counter& m_reportsIgnored;
     Counter& m_crashesAttributed;
     Counter& m_runsEvicted;
+    Counter& m_runsBackfilled;
+    Counter& m_runsYielded;
+    Counter& m_startsDelayed;
     Counter& m_runsStalled;
     Counter& m_runsMoved;
     Counter& m_unknownRunsStopped;
--- a/src/lycheespool/controller/controller_jobs.cpp
+++ b/src/lycheespool/controller/controller_jobs.cpp
@@ -36,6 +36,9 @@
     , m_reportsIgnored { metrics.counter("node_reports_ignored_total") }
     , m_crashesAttributed { metrics.counter("crashes_attributed_total") }
     , m_runsEvicted { metrics.counter("runs_evicted_total") }
+    , m_runsBackfilled { metrics.counter("runs_backfilled_total") }
+    , m_runsYielded { metrics.counter("runs_yielded_total") }
+    , m_startsDelayed { metrics.counter("starts_delayed_by_reservations_total") }
     , m_runsStalled { metrics.counter("runs_stalled_total") }
     , m_runsMoved { metrics.counter("runs_moved_total") }
     , m_unknownRunsStopped { metrics.counter("runs_unknown_stopped_total") }
--- a/src/lycheespool/controller/controller_planning.cpp
+++ b/src/lycheespool/controller/controller_planning.cpp
@@ -13,6 +13,7 @@
 #include <cmath>
 #include <string_view>
 #include <tuple>
+#include <utility>
 
 namespace lycheespool {
 
@@ -27,12 +28,23 @@
 // Longest time that a guaranteed gang waits for a single rack before its first start; that start must happen within the
 // reclaim bound of about 2.7 s.
 constexpr std::int64_t guaranteedRackWaitMs = 1000;
-// Longest time that work waits for executors on which its job has not failed, and service tasks for unsuspected ones or
-// for their rack; work must run again within 3 s if there is room, and a start takes up to 0.5 s.
+// Longest time that work waits for executors on which its job has not failed, jobs with nothing running for executors
+// that are not reserved, and service tasks for unsuspected ones or for their rack; work must run again within 3 s if
+// there is room, and a start takes up to 0.5 s.
 constexpr std::int64_t maxAvoidanceMs = 2000;
+// Deviations by which a task that uses reserved resources must be expected to end before they are needed; most of those
+// that do not yield with their work lost.
+constexpr double backfillDeviations = 1;
 // A service task is at work when its percent is 100.
 constexpr std::uint32_t percentAtWork = 100;
 
+/*! @brief Returns the number of a waiting step, 0 if it does not wait. */
+std::size_t numberOf(const std::optional<TaskName>& name, const std::map<TaskName, std::size_t>& steps)
+{
+    const auto it = name ? steps.find(*name) : steps.end();
+    return it == steps.end() ? 0 : it->second;
+}
+
 double coreEquivalent(const ResourceVector& amount)
 {
     return static_cast<double>(amount.milliCores) / 1000.0
@@ -41,6 +53,8 @@
 
 }
 
+TaskName Controller::WaitingStep::name() const { return { job->id, { occurrence, step, 0 } }; }
+
 bool Controller::acceptsWork(const ExecutorView& node, TimePoint now) const
 {
     // Outdated lists mean that the executor does not answer its agent.
@@ -146,6 +160,7 @@
         + policy.targetLatencyMs;
     const auto forecast = forecastOf(job, spec);
     const auto uncertainty = std::exp(forecast.spread);
+    const bool hasNothingRunning = std::ranges::all_of(job.rounds, [](const auto& it) { return it.live == 0; });
 
     StartRequest request;
     request.perTask = spec.charged();
@@ -167,6 +182,10 @@
         || (request.hasStartBound && ageMs > guaranteedRackWaitMs) || (spec.isService && readyMs >= maxAvoidanceMs);
     request.acceptsAvoided = readyMs >= maxAvoidanceMs;
     request.acceptsSuspected = spec.isService && request.acceptsAvoided;
+    request.isService = spec.isService;
+    request.isStarved = readyMs >= maxAvoidanceMs && (spec.isService || hasNothingRunning);
+    if (!spec.isService && forecast.expectedMs > 0)
+        request.runTimeMs = forecast.upperMs(backfillDeviations);
 
     // No task of a gang runs while the gang waits, so its task counts per executor start at zero.
     for (std::uint32_t i = 0; i < spec.tasks && !spec.isGang && spec.maxPerExecutor > 0; ++i) {
@@ -230,6 +249,7 @@
     if (spec.isGang && step.indices.size() < spec.tasks)
         step.indices.clear();
     request.acceptsSuspected = spec.isService && request.acceptsAvoided;
+    request.isStarved = request.isStarved && request.acceptsAvoided;
     const auto add = [&](WaitingStep it) {
         it.request.tasks = static_cast<std::uint32_t>(it.indices.size());
         if (!it.indices.empty())
@@ -262,9 +282,14 @@
     }
     std::optional<std::int64_t> nextDue;
     auto waiting = waitingSteps(now, nextDue);
+    StepNumbers steps;
+    for (auto& it : waiting)
+        it.request.step = steps.try_emplace(it.name(), steps.size() + 1).first->second;
+    std::erase_if(m_reservingSteps, [&](const auto& it) { return !steps.contains(it); });
+    std::erase_if(m_delayedSteps, [&](const auto& it) { return !steps.contains(it.first); });
     if (waiting.empty())
         return nextDue;
-    const auto evictable = evictableRuns(now.steady);
+    const auto evictable = evictableRuns(steps, now.steady);
     for (auto& [service, nodes] : plannerNodes(evictable, now.steady))
         planService(service, std::move(nodes), evictable, waiting, now);
     return nextDue;
@@ -292,7 +317,7 @@
 }
 
 /*! @brief Collects the runs that other work may evict; the members of a gang share a group and its whole cost. */
-Controller::EvictableRuns Controller::evictableRuns(TimePoint now) const
+Controller::EvictableRuns Controller::evictableRuns(const StepNumbers& steps, TimePoint now) const
 {
     EvictableRuns runs;
     const auto guaranteed = guaranteedJobs();
@@ -307,6 +332,8 @@
         const auto& step = job.row.request.steps[key.task.position.step];
         EvictableRun it { runs.keys.size(), 0, policyOf(job).priority + 1, run.charged, evictionCost(key, run, now) };
         it.isService = step.isService;
+        it.yieldsTo = numberOf(run.yieldsTo, steps);
+        it.remainingMs = timeUntilReleaseMs(key, run, now);
         if (step.isService && step.maxUnavailable > 0) {
             const auto& position = key.task.position;
             const auto [limit, isNew] = limits.try_emplace({ key.task.job, position.occurrence, position.step });
@@ -344,6 +371,7 @@
     const EvictableRuns& evictable, TimePoint now) const
 {
     std::map<Lifetime, ResourceVector> busy;
+    std::map<Lifetime, std::vector<ExpectedRelease>> releases;
     std::map<Lifetime, ResourceVector> releasing;
     std::map<Lifetime, ResourceVector> heldByServiceTasks;
     std::map<Lifetime, std::size_t> trials;
@@ -351,6 +379,9 @@
     for (const auto& [key, run] : m_runs) {
         busy[run.lifetime] += run.charged;
         ++counts[run.lifetime];
+        // The keys are in the order of the runs.
+        if (!std::ranges::binary_search(evictable.keys, key))
+            releases[run.lifetime].push_back({ run.charged, timeUntilReleaseMs(key, run, now) });
         if (!showsWork(run, now))
             ++trials[run.lifetime];
         if (run.isStopping())
@@ -380,8 +411,11 @@
         candidate.freeRuns = static_cast<std::int64_t>(maxRunsPerReport - std::min(maxRunsPerReport, listed));
         candidate.slowness = m_speeds.slownessOf(name);
         candidate.isBusy = busy[node.lifetime] != ResourceVector {};
-        for (const auto& [key, unknownRun] : node.unknownRuns)
+        candidate.releases = releases[node.lifetime];
+        for (const auto& [key, unknownRun] : node.unknownRuns) {
             candidate.free -= unknownRun.charged;
+            candidate.releases.push_back({ unknownRun.charged, expectedStopMs });
+        }
         if (const auto it = evictable.byLifetime.find(node.lifetime); it != evictable.byLifetime.end())
             candidate.evictable = it->second;
         nodesByService[node.service].push_back(std::move(candidate));
@@ -416,15 +450,60 @@
         std::vector<std::string> places;
         std::ranges::transform(
             it.nodes, std::back_inserter(places), [&](std::size_t position) { return names[position]; });
-        startRuns(waiting[positions[it.request]], places, now);
+        std::map<std::string, TaskName> yieldsTo;
+        for (const auto& [node, step] : it.yieldsTo) {
+            const auto holder = std::ranges::find(
+                positions, step, [&](std::size_t position) { return waiting[position].request.step; });
+            yieldsTo.emplace(names[node], waiting[*holder].name());
+        }
+        startRuns(waiting[positions[it.request]], places, yieldsTo, now);
     }
     for (const auto handle : plan.evictions) {
         m_runsEvicted.add();
         stopRun(evictable.keys[handle], "preempted by work of higher rank");
     }
+    for (const auto handle : plan.yields) {
+        m_runsYielded.add();
+        stopRun(evictable.keys[handle], "the work that its resources are reserved for can start");
+    }
+    logReservations(plan, positions, names, waiting);
 }
 
-void Controller::startRuns(WaitingStep& waiting, const std::vector<std::string>& nodes, const ClockReading& now)
+/*! @brief Logs once for each waiting step that executors are reserved for it, or that it waits for a reservation. */
+void Controller::logReservations(const StartPlan& plan, const std::vector<std::size_t>& positions,
+    const std::vector<std::string>& names, const std::vector<WaitingStep>& waiting)
+{
+    const auto nameOf = [&](std::size_t request) { return waiting[positions[request]].name(); };
+    for (const auto& it : plan.reservations) {
+        const auto holder = nameOf(it.request);
+        // An unknown time is logged as -1.
+        const auto startMs = std::isinf(it.startMs) ? -1 : static_cast<std::int64_t>(it.startMs);
+        if (m_reservingSteps.insert(holder).second) {
+            std::vector<std::string> nodes;
+            std::ranges::transform(
+                it.nodes, std::back_inserter(nodes), [&](std::size_t position) { return names[position]; });
+            logEvent("executors_reserved",
+                { { "step", holder.toString() }, { "nodes", nodes }, { "expected_start_ms", startMs },
+                    { "epoch", m_epoch.value() } });
+        }
+        for (const auto request : it.delayed) {
+            const auto delayed = nameOf(request);
+            const auto [known, isNew] = m_delayedSteps.try_emplace(delayed, holder);
+            if (!isNew && std::exchange(known->second, holder) == holder)
+                continue;
+            m_startsDelayed.add();
+            const auto& runTimeMs = waiting[positions[request]].request.runTimeMs;
+            logEvent("start_delayed",
+                { { "step", delayed.toString() }, { "reserved_for", holder.toString() },
+                    { "expected_start_ms", startMs },
+                    { "run_time_ms", std::isinf(runTimeMs) ? -1 : static_cast<std::int64_t>(runTimeMs) },
+                    { "ready_ms", waiting[positions[request]].readyMs }, { "epoch", m_epoch.value() } });
+        }
+    }
+}
+
+void Controller::startRuns(WaitingStep& waiting, const std::vector<std::string>& nodes,
+    const std::map<std::string, TaskName>& yieldsTo, const ClockReading& now)
 {
     auto& job = *waiting.job;
     auto& round = job.round(waiting.occurrence, waiting.step);
@@ -456,6 +535,7 @@
         round.readySinceMs.reset();
     job.wasPlanned = true;
     std::vector<std::string> placed;
+    std::set<std::string> yielding;
     for (const auto i : chosen) {
         const TaskPosition position { waiting.occurrence, waiting.step, waiting.indices[i] };
         auto& task = job.progress.at(position);
@@ -472,6 +552,11 @@
         run.checkpoint = task.checkpoint;
         run.isPartial = !task.checkpoint.empty();
         run.plannedReliability = trustOf(node, now.steady);
+        if (const auto holder = yieldsTo.find(nodes[i]); holder != yieldsTo.end()) {
+            run.yieldsTo = holder->second;
+            yielding.insert(holder->second.toString());
+            m_runsBackfilled.add();
+        }
         const RunKey key { { job.id, position }, task.lastRun };
         m_runs.emplace(key, std::move(run));
         round.waiting.erase(position.index);
@@ -485,7 +570,7 @@
             { "objective_ms", waiting.input.objectiveMs }, { "remaining_ms", waiting.input.remainingMs },
             { "gang", spec.isGang }, { "priced_cores", coreEquivalent(spec.charged()) },
             { "left_waiting", round.waiting.size() }, { "remote_accepted", waiting.request.acceptsRemote },
-            { "config_version", m_config->version }, { "epoch", m_epoch.value() } });
+            { "yields_to", yielding }, { "config_version", m_config->version }, { "epoch", m_epoch.value() } });
 }
 
 /*! @brief Checks if a planned start is still valid. */
@@ -588,6 +673,8 @@
             continue;
         }
         run.orderedAt = now.steady;
+        if (run.isStopping() && run.stopOrderedAt == neverOrdered)
+            run.stopOrderedAt = now.steady;
         if (run.phase == RunPhase::planned)
             run.phase = RunPhase::ordered;
         run.possibleStarts += !run.isStopping();
--- a/src/lycheespool/controller/controller_trust.cpp
+++ b/src/lycheespool/controller/controller_trust.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <array>
+#include <limits>
 #include <ranges>
 #include <utility>
 
@@ -276,26 +277,46 @@
         stopRun(key, "no progress");
 }
 
-/*! @brief Forecasts the time until a run ends. */
-DurationForecast Controller::remainingRunTime(
+/*! @brief Forecasts the whole run time of a run from the estimates and its progress. */
+Controller::RunForecast Controller::forecastOfRun(
     const ManagedWorkload& job, const RunKey& key, const LiveRun& run, TimePoint now) const
 {
     const auto& step = job.row.request.steps[key.task.position.step];
     const auto whole = forecastOf(job, step);
+    if (run.phase != RunPhase::confirmed)
+        return { whole, 0 };
     const auto workingSince = step.isGang ? gangStartTime(job, key) : std::optional { run.confirmedAt };
     if (!workingSince)
-        return whole;
+        return { whole, 0 };
     const std::chrono::duration<double, std::milli> working = now - *workingSince;
     const auto node = m_nodes.find(run.node);
     // The percent of a run that resumed from a checkpoint includes work of earlier runs.
     if (!run.isPartial && run.percent >= minPercentForPace && node != m_nodes.end()) {
         const auto sinceListed = static_cast<double>(node->second.newestReportMs - run.percentListedMs);
         const auto perPercent = std::max(0.0, working.count() - sinceListed) / run.percent;
-        return { std::max(0.0, perPercent * 100 - working.count()), paceSpread };
+        return { { perPercent * 100, paceSpread }, working.count() };
     }
     if (run.percent > 0)
-        return { whole.expectedMs * (100 - run.percent) / 100, whole.spread };
-    return { std::max(0.0, whole.expectedMs - working.count()), whole.spread };
+        return { { working.count() + whole.expectedMs * (100 - run.percent) / 100, whole.spread }, working.count() };
+    return { whole, working.count() };
+}
+
+/*! @brief Forecasts the time until a run releases its resources, ms; infinite for a service task that is not stopped.
+ */
+double Controller::timeUntilReleaseMs(const RunKey& key, const LiveRun& run, TimePoint now) const
+{
+    if (run.isStopping()) {
+        // A stop that takes longer than expected may take several times as long.
+        constexpr double stopSpread = 0.9;
+        const auto since = run.stopOrderedAt == neverOrdered ? Duration {} : now - run.stopOrderedAt;
+        return DurationForecast { expectedStopMs, stopSpread }.remainingMs(
+            std::chrono::duration<double, std::milli> { since }.count());
+    }
+    const auto& job = m_jobs.at(key.task.job);
+    if (job.row.request.steps[key.task.position.step].isService)
+        return std::numeric_limits<double>::infinity();
+    const auto forecast = forecastOfRun(job, key, run, now);
+    return forecast.whole.remainingMs(forecast.elapsedMs);
 }
 
 /*! @brief Stops a run whose executor departs before the run would end, so that it restarts elsewhere. */
@@ -312,11 +333,11 @@
         return;
     const auto& step = job->row.request.steps[key.task.position.step];
     const auto ms = [](Duration time) { return std::chrono::duration<double, std::milli> { time }.count(); };
-    const auto forecast = remainingRunTime(*job, key, run, now.steady);
+    const auto forecast = forecastOfRun(*job, key, run, now.steady);
     DepartingRun departure;
     departure.timeToDepartureMs = ms(*node->second.earliestDeparture - now.steady);
-    departure.remainingMs = forecast.expectedMs;
-    departure.spread = forecast.spread;
+    departure.remainingMs = std::max(0.0, forecast.whole.expectedMs - forecast.elapsedMs);
+    departure.spread = forecast.whole.spread;
     // A run that writes checkpoints writes another one when it is stopped.
     departure.repeatedMs = run.checkpoint.empty() ? ms(now.steady - run.confirmedAt) : ms(m_settings.bounds.restore);
     // An executor either announces its departure or is detected when its permits expire; the mean of both is used.
--- a/src/lycheespool/controller/live_run.h
+++ b/src/lycheespool/controller/live_run.h
@@ -7,6 +7,7 @@
 #include "lycheespool/workload/task_name.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace lycheespool {
@@ -42,6 +43,11 @@
     ResourceVector charged;
     /*! @brief Empty unless the run is to be stopped. */
     std::string stopReason;
+    /*! @brief When the first stop order was sent. */
+    TimePoint stopOrderedAt { neverOrdered };
+    /*! @brief First task of the waiting step whose reservation the run uses; the run is stopped once that step can
+     * start otherwise. Known only to the leader that started the run. */
+    std::optional<TaskName> yieldsTo {};
     /*! @brief The executor answered the stop order, so the run cannot start any more. */
     bool stopAnswered { false };
     /*! @brief Start orders after which the executor may have begun the run: all that were sent, less those whose
--- a/src/lycheespool/dispatch/duration_model.cpp
+++ b/src/lycheespool/dispatch/duration_model.cpp
@@ -23,6 +23,14 @@
 
 double DurationForecast::upperMs(double deviations) const { return expectedMs * std::exp(deviations * spread); }
 
+double DurationForecast::remainingMs(double elapsedMs) const
+{
+    // Three quarters of a normal distribution are below this number of deviations, so half of the runs that last longer
+    // than expected end within this share of their elapsed time.
+    constexpr double deviations = 0.6745;
+    return std::max(expectedMs - elapsedMs, elapsedMs * std::expm1(deviations * spread));
+}
+
 void DurationModel::Moments::add(double value)
 {
     ++count;
--- a/src/lycheespool/dispatch/duration_model.h
+++ b/src/lycheespool/dispatch/duration_model.h
@@ -21,6 +21,18 @@
      * @return Run time, ms.
      */
     [[nodiscard]] double upperMs(double deviations) const;
+
+    /**
+     * @brief Returns how much longer a run is expected to last.
+     *
+     * Never zero for a run that has lasted a while: one that exceeds its expected time is expected to go on for a share
+     * of its elapsed time, so that an underestimated run does not look as if it were about to end for as long as it
+     * lasts.
+     *
+     * @param elapsedMs Time for which the run has lasted, ms.
+     * @return Remaining run time, ms.
+     */
+    [[nodiscard]] double remainingMs(double elapsedMs) const;
 };
 
 /**
--- a/src/lycheespool/dispatch/node_capacity.h
+++ b/src/lycheespool/dispatch/node_capacity.h
@@ -27,6 +27,20 @@
     std::size_t limitedStep { 0 };
     /*! @brief Number of tasks of the limited step that may be stopped. */
     std::size_t stopsLeft { 0 };
+    /*! @brief Waiting step whose reservation the run uses until that step can start; 0 for none. */
+    std::size_t yieldsTo { 0 };
+    /*! @brief Forecast of the time until the run ends by itself, ms. */
+    double remainingMs { std::numeric_limits<double>::infinity() };
+};
+
+/*! @brief Forecast of the time from the decision to stop a run until its resources are free, ms. */
+inline constexpr double expectedStopMs = 400;
+
+/*! @brief Resources that a run releases. */
+struct ExpectedRelease {
+    ResourceVector charged;
+    /*! @brief Forecast of the time until then, ms. */
+    double remainingMs { 0 };
 };
 
 /*! @brief Reliability of an executor, judged by its recent runs; ordered from best to worst. */
@@ -66,6 +80,8 @@
     /*! @brief Number of tasks that may start before the runs of the executor no longer fit into its report. */
     std::int64_t freeRuns { std::numeric_limits<std::int64_t>::max() };
     std::vector<EvictableRun> evictable;
+    /*! @brief Releases by runs that are not evictable, in any order; some of them are being stopped. */
+    std::vector<ExpectedRelease> releases;
 };
 
 }
--- a/src/lycheespool/dispatch/start_planner.cpp
+++ b/src/lycheespool/dispatch/start_planner.cpp
@@ -10,6 +10,9 @@
 
 namespace {
 
+// A start is stored, ordered and confirmed within this time; a task that has to stop sooner would not work at all.
+constexpr double minUsefulMs = 500;
+
 /*! @brief Returns the shares of an executor that a task would leave free, summed over the resources; a smaller sum is a
  * tighter fit. */
 double unusedShare(const NodeCapacity& node, const ResourceVector& need)
@@ -22,6 +25,12 @@
         + share(node.free.accelerators, need.accelerators, node.capacity.accelerators);
 }
 
+/*! @brief Checks if a run uses the reservation of a request. */
+bool yieldsTo(const EvictableRun& run, const StartRequest& request)
+{
+    return run.yieldsTo != 0 && run.yieldsTo == request.step;
+}
+
 }
 
 StartPlan StartPlanner::plan(std::span<const StartRequest> requests)
@@ -29,32 +38,47 @@
     StartPlan plan;
     for (std::size_t i = 0; i < requests.size(); ++i) {
         const auto& request = requests[i];
+        m_usesIdleCapacity = hasIdleCapacityFor(request);
         auto places = findMostReliable(request);
+        if (places.empty() && tryStopYielding(i, request, plan))
+            continue;
         if (places.empty() && request.mayEvict) {
             auto releasing = eligibleScope(request);
             releasing.withReleasing = true;
+            releasing.unreservedOnly = true;
             const bool willBecomeFree = !find(request, releasing).empty();
-            if (!willBecomeFree && tryEvictFor(request, plan))
+            if (!willBecomeFree && tryEvictFor(i, request, plan))
                 continue;
             if (!willBecomeFree && request.hasStartBound)
                 places = find(request, { .reliability = NodeReliability::suspected, .withAvoided = true });
         }
         if (places.empty()) {
-            reserve(request);
-            continue;
+            recordDelay(i, request, plan);
+            reserve(i, request, plan);
+        } else {
+            startOn(i, request, places, plan);
         }
-        // Tasks beyond the trials keep their capacity and start in a later plan.
-        allocate(request, places);
-        if (auto starts = withinTrials(request, places); !starts.empty())
-            plan.starts.push_back({ i, std::move(starts) });
     }
     return plan;
 }
 
+void StartPlanner::startOn(std::size_t index, const StartRequest& request, const Places& places, StartPlan& plan)
+{
+    // Tasks beyond the trials keep their capacity and start in a later plan.
+    auto yieldsTo = allocate(request, places);
+    if (auto starts = withinTrials(request, places); !starts.empty())
+        plan.starts.push_back({ index, std::move(starts), std::move(yieldsTo) });
+}
+
 bool StartPlanner::isAllowed(const StartRequest& request, std::size_t node, const Scope& scope) const
 {
     const auto& it = m_nodes[node];
-    if (!it.isSchedulable || m_reserved[node] || it.reliability > scope.reliability)
+    if (!it.isSchedulable || it.reliability > scope.reliability)
+        return false;
+    const auto& reservation = m_reservations[node];
+    if (reservation && (scope.whenEmpty || scope.unreservedOnly))
+        return false;
+    if (reservation && !scope.withReserved && !mayBackfill(request, *reservation))
         return false;
     if (!scope.withAvoided && request.avoidedNodes.contains(it.node))
         return false;
@@ -73,7 +97,12 @@
         available = it.capacity;
         available -= it.heldByServiceTasks;
         for (const auto& run : it.evictable) {
-            if (run.isService && request.evictsServiceTasks)
+            if (run.isService && (request.evictsServiceTasks || yieldsTo(run, request)))
+                available += run.charged;
+        }
+    } else if (scope.withYielding) {
+        for (const auto& run : it.evictable) {
+            if (yieldsTo(run, request))
                 available += run.charged;
         }
     }
@@ -112,7 +141,8 @@
     const double direction = scope.whenEmpty ? -1 : 1;
     std::ranges::sort(order, {}, [&](std::size_t it) {
         const auto& node = m_nodes[it];
-        return std::pair { direction * unusedShare(node, request.perTask) + request.speedWeight * node.slowness, it };
+        return std::tuple { m_reservations[it].has_value(),
+            direction * unusedShare(node, request.perTask) + request.speedWeight * node.slowness, it };
     });
     Places places;
     for (const auto node : order) {
@@ -165,7 +195,7 @@
                 bestRank = rank;
             }
         }
-        if (!best.empty() || (possible && !request.acceptsRemote))
+        if (!best.empty() || (possible && !request.acceptsRemote && !m_usesIdleCapacity))
             return best;
         scope.rack.clear();
     }
@@ -183,7 +213,7 @@
         auto empty = scope;
         empty.whenEmpty = true;
         const bool possible = copiesIn(request, empty) > 0;
-        if (!places.empty() || (possible && !request.acceptsRemote))
+        if (!places.empty() || (possible && !request.acceptsRemote && !m_usesIdleCapacity))
             return places;
         scope.rack.clear();
     }
@@ -204,6 +234,8 @@
     const bool acceptsAny = !request.isGang && !request.prefersReliable;
     if (acceptsAny || request.acceptsSuspected)
         return any;
+    if (m_usesIdleCapacity)
+        return { .withAvoided = true };
     const std::int64_t needed = request.isGang ? request.tasks : 1;
     const auto scopeOf = [&](NodeReliability reliability) {
         return Scope { .reliability = reliability, .withAvoided = request.acceptsAvoided };
@@ -237,13 +269,53 @@
     return places;
 }
 
-void StartPlanner::allocate(const StartRequest& request, const Places& places)
+/*! @brief Checks if a request may start at once on an executor that it prefers to avoid: its job has waited beside
+ * room for twice its tasks, while less than half of the capacity is in use. Tasks that do not end by themselves need
+ * not wait for the latter, since their callers count each second without them. */
+bool StartPlanner::hasIdleCapacityFor(const StartRequest& request) const
+{
+    if (!request.isStarved)
+        return false;
+    const Scope anyFree { .reliability = NodeReliability::failedOnce, .withAvoided = true, .withReserved = true };
+    auto twice = request;
+    twice.tasks = 2 * (request.isGang ? request.tasks : 1);
+    if (copiesIn(twice, anyFree) < twice.tasks)
+        return false;
+    if (request.isService)
+        return true;
+    ResourceVector twiceUsed;
+    ResourceVector capacity;
+    for (const auto& it : m_nodes) {
+        capacity += it.capacity;
+        for (int i = 0; i < 2; ++i) {
+            twiceUsed += it.capacity;
+            twiceUsed -= it.free;
+        }
+    }
+    return twiceUsed.fitsInto(capacity);
+}
+
+/*! @brief Checks if a request may use a reserved executor until the reserving request starts. */
+bool StartPlanner::mayBackfill(const StartRequest& request, const Reservation& reservation) const
+{
+    if (!request.isStarved)
+        return false;
+    return request.runTimeMs < reservation.startMs || (reservation.startMs > minUsefulMs && m_usesIdleCapacity);
+}
+
+/*! @brief Takes the resources of the places; returns the steps whose reservations are used, by node. */
+std::map<std::size_t, std::size_t> StartPlanner::allocate(const StartRequest& request, const Places& places)
 {
+    std::map<std::size_t, std::size_t> yieldsTo;
     for (const auto node : places) {
         m_nodes[node].free -= request.perTask;
         --m_nodes[node].freeRuns;
         m_nodes[node].isBusy = true;
+        m_nodes[node].releases.push_back({ request.perTask, request.runTimeMs });
+        if (const auto& reservation = m_reservations[node])
+            yieldsTo[node] = reservation->step;
     }
+    return yieldsTo;
 }
 
 /*! @brief Limits the starts on each executor to its trials, so that one that has begun to fail fails few tasks. */
@@ -262,16 +334,81 @@
     return starts;
 }
 
-/*! @brief Reserves the executors that a request waits for, so that later requests cannot use them. */
-void StartPlanner::reserve(const StartRequest& request)
+/*! @brief Forecasts the time until an amount is free on an executor for a request, ms; infinite if no forecast includes
+ * it. */
+double StartPlanner::timeUntilFree(std::size_t node, const ResourceVector& needed, const StartRequest& request) const
+{
+    auto available = m_nodes[node].free;
+    auto releases = m_nodes[node].releases;
+    for (const auto& it : m_nodes[node].evictable) {
+        // Runs that yield to the request do not delay it.
+        if (yieldsTo(it, request))
+            available += it.charged;
+        else
+            releases.push_back({ it.charged, it.remainingMs });
+    }
+    std::ranges::sort(releases, {}, &ExpectedRelease::remainingMs);
+    double time = 0;
+    for (auto it = releases.begin(); it != releases.end() && !needed.fitsInto(available); ++it) {
+        available += it->charged;
+        time = it->remainingMs;
+    }
+    return needed.fitsInto(available) ? time : std::numeric_limits<double>::infinity();
+}
+
+/*! @brief Reserves executors for a request until it can start there. */
+void StartPlanner::reserveNodes(std::size_t index, const StartRequest& request, const Places& places, StartPlan& plan)
+{
+    std::map<std::size_t, ResourceVector> needed;
+    for (const auto node : places)
+        needed[node] += request.perTask;
+    std::map<std::size_t, double> times;
+    PlannedReservation planned { index, {}, 0, {} };
+    for (const auto& [node, amount] : needed) {
+        times[node] = timeUntilFree(node, amount, request);
+        planned.nodes.push_back(node);
+        planned.startMs = std::max(planned.startMs, times[node]);
+    }
+    // A request that waits although enough is free waits for something that has no forecast.
+    const auto orUnknown = [](double ms) { return ms == 0 ? std::numeric_limits<double>::infinity() : ms; };
+    planned.startMs = orUnknown(planned.startMs);
+    for (const auto& [node, amount] : needed) {
+        // The members of a gang start together; other tasks start one by one.
+        const auto startMs = request.isGang ? planned.startMs : orUnknown(times[node]);
+        m_reservations[node] = Reservation { request.step, plan.reservations.size(), startMs };
+    }
+    plan.reservations.push_back(std::move(planned));
+}
+
+/*! @brief Records for which reservation a request waits, if only reservations keep it from starting. */
+void StartPlanner::recordDelay(std::size_t index, const StartRequest& request, StartPlan& plan) const
+{
+    if (plan.reservations.empty())
+        return;
+    const std::int64_t needed = request.isGang ? request.tasks : 1;
+    auto scope = eligibleScope(request);
+    scope.withReserved = true;
+    if (copiesIn(request, scope) < needed)
+        return;
+    for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+        if (m_reservations[i] && copiesOn(request, i, scope) > 0) {
+            plan.reservations[m_reservations[i]->position].delayed.push_back(index);
+            return;
+        }
+    }
+}
+
+/*! @brief Reserves the executors that a request waits for, so that later requests cannot keep them from it. */
+void StartPlanner::reserve(std::size_t index, const StartRequest& request, StartPlan& plan)
 {
-    if (m_reservations >= m_limits.maxReservations)
+    if (m_waitingReservations >= m_limits.maxReservations)
         return;
     // Only gangs and tasks that need most of an executor are starved by small tasks.
     const auto needsMost = [&](const NodeCapacity& it) { return request.perTask.copiesIn(it.capacity) <= 2; };
     if (!request.isGang && !std::ranges::any_of(m_nodes, needsMost))
         return;
-    Scope scope { .withReleasing = true };
+    // An executor has one reservation, so that its time and spare resources depend on one request only.
+    Scope scope { .withReleasing = true, .unreservedOnly = true };
     auto places = find(request, scope);
     if (places.empty()) {
         scope.whenEmpty = true;
@@ -279,14 +416,47 @@
     }
     if (places.empty())
         return;
-    ++m_reservations;
+    ++m_waitingReservations;
+    reserveNodes(index, request, places, plan);
+}
+
+/*! @brief Stops the runs that use the reservation of a request if it can start once they have ended. */
+bool StartPlanner::tryStopYielding(std::size_t index, const StartRequest& request, StartPlan& plan)
+{
+    const auto yields = [&](const EvictableRun& it) { return yieldsTo(it, request); };
+    if (std::ranges::none_of(m_nodes, [&](const auto& it) { return std::ranges::any_of(it.evictable, yields); }))
+        return false;
+    auto scope = eligibleScope(request);
+    scope.withReleasing = true;
+    scope.unreservedOnly = true;
+    // Stops in progress may already free enough.
+    if (!find(request, scope).empty())
+        return false;
+    scope.withYielding = true;
+    const auto places = find(request, scope);
+    std::map<std::size_t, std::int64_t> copies;
     for (const auto node : places)
-        m_reserved[node] = true;
+        ++copies[node];
+    EvictionChoice choice;
+    choice.stops = m_stops;
+    for (const auto& [node, count] : copies) {
+        auto found = evictionsOn(request, node, count, choice.stops, yields);
+        if (!found)
+            return false;
+        choice.handles.insert(choice.handles.end(), found->handles.begin(), found->handles.end());
+        choice.stops = std::move(found->stops);
+    }
+    if (choice.handles.empty())
+        return false;
+    stopRuns(choice.handles, plan.yields);
+    reserveNodes(index, request, places, plan);
+    return true;
 }
 
 /*! @brief Chooses runs to evict on one executor so that the given number of tasks fit, and sums their unsaved work. */
-std::optional<StartPlanner::EvictionChoice> StartPlanner::evictionsOn(
-    const StartRequest& request, std::size_t node, std::int64_t copies, const LimitedStops& stops) const
+template <std::predicate<const EvictableRun&> MayStop>
+std::optional<StartPlanner::EvictionChoice> StartPlanner::evictionsOn(const StartRequest& request, std::size_t node,
+    std::int64_t copies, const LimitedStops& stops, const MayStop& mayStop) const
 {
     const auto& it = m_nodes[node];
     auto available = it.free;
@@ -308,8 +478,7 @@
     for (const auto& run : runs) {
         if (request.perTask.copiesIn(available) >= copies)
             break;
-        if (run.tier <= request.evictsAboveTier || (run.isService && !request.evictsServiceTasks)
-            || stopsLeft(run) == 0)
+        if (!mayStop(run) || stopsLeft(run) == 0)
             continue;
         if (run.limitedStep != 0)
             ++choice.stops[run.limitedStep];
@@ -335,11 +504,14 @@
     auto scope = eligibleScope(request);
     scope.rack = rack;
     scope.whenEmpty = true;
+    const auto isLessImportant = [&](const EvictableRun& it) {
+        return it.tier > request.evictsAboveTier && (!it.isService || request.evictsServiceTasks);
+    };
     std::vector<Candidate> candidates;
     for (std::size_t i = 0; i < m_nodes.size(); ++i) {
         // Evicting all runs frees the most capacity; freeing less may cost less per task.
         for (auto copies = copiesOn(request, i, scope); copies > 0; --copies) {
-            if (auto found = evictionsOn(request, i, copies, m_stops))
+            if (auto found = evictionsOn(request, i, copies, m_stops, isLessImportant))
                 candidates.push_back({ found->cost / static_cast<double>(copies), i, copies, std::move(*found) });
         }
     }
@@ -352,7 +524,7 @@
         if (missing <= 0 || isUsed)
             continue;
         // Stops on the other executors may have used up what a step can spare.
-        const auto found = evictionsOn(request, it.node, it.copies, choice.stops);
+        const auto found = evictionsOn(request, it.node, it.copies, choice.stops, isLessImportant);
         if (!found)
             continue;
         choice.cost += found->cost;
@@ -364,7 +536,7 @@
     return missing > 0 ? std::nullopt : std::optional { std::move(choice) };
 }
 
-bool StartPlanner::tryEvictFor(const StartRequest& request, StartPlan& plan)
+bool StartPlanner::tryEvictFor(std::size_t index, const StartRequest& request, StartPlan& plan)
 {
     std::optional<EvictionChoice> best;
     if (request.isGang && request.prefersOneRack) {
@@ -378,13 +550,20 @@
         best = chooseEvictions(request, {});
     if (!best || best->cost > request.evictionBudget)
         return false;
-    evict(best->handles, plan);
-    for (const auto node : best->nodes)
-        m_reserved[node] = true;
+    stopRuns(best->handles, plan.evictions);
+    Places places;
+    for (const auto node : std::set<std::size_t> { best->nodes.begin(), best->nodes.end() }) {
+        auto available = m_nodes[node].free;
+        available += m_nodes[node].releasing;
+        const auto copies = std::min<std::int64_t>(request.perTask.copiesIn(available), request.tasks);
+        places.insert(places.end(), static_cast<std::size_t>(copies), node);
+    }
+    reserveNodes(index, request, places, plan);
     return true;
 }
 
-void StartPlanner::evict(std::span<const std::size_t> handles, StartPlan& plan)
+/*! @brief Stops runs and the other members of their gangs. */
+void StartPlanner::stopRuns(std::span<const std::size_t> handles, std::vector<std::size_t>& stopped)
 {
     std::set<std::size_t> groups;
     for (const auto& node : m_nodes) {
@@ -398,11 +577,12 @@
             const bool chosen = groups.contains(run.group) || std::ranges::find(handles, run.handle) != handles.end();
             if (chosen) {
                 node.releasing += run.charged;
+                node.releases.push_back({ run.charged, expectedStopMs });
                 if (run.isService)
                     node.heldByServiceTasks -= run.charged;
                 if (run.limitedStep != 0)
                     ++m_stops[run.limitedStep];
-                plan.evictions.push_back(run.handle);
+                stopped.push_back(run.handle);
             }
             return chosen;
         });
--- a/src/lycheespool/dispatch/start_request.h
+++ b/src/lycheespool/dispatch/start_request.h
@@ -56,6 +56,15 @@
     std::uint32_t evictsAboveTier { 0 };
     /*! @brief Maximum unsaved work that may be discarded, core-seconds. */
     double evictionBudget { std::numeric_limits<double>::infinity() };
+    /*! @brief Number of the waiting step, by which runs refer to the reservation that they use; 0 for none. */
+    std::size_t step { 0 };
+    /*! @brief Run time that most of the tasks do not exceed, ms; infinite for tasks that do not end by themselves. */
+    double runTimeMs { std::numeric_limits<double>::infinity() };
+    /*! @brief The tasks do not end by themselves. */
+    bool isService { false };
+    /*! @brief The job has waited with nothing running for as long as work may wait beside idle executors. It may use
+     * reserved resources and need not wait for preferred executors if much capacity is idle. */
+    bool isStarved { false };
 };
 
 /*! @brief Placement of some or all tasks of a request. */
@@ -64,6 +73,20 @@
     std::size_t request { 0 };
     /*! @brief Index of the node of each task. */
     std::vector<std::size_t> nodes;
+    /*! @brief Waiting steps whose reservations the tasks use until those steps can start, by index of the node. */
+    std::map<std::size_t, std::size_t> yieldsTo;
+};
+
+/*! @brief Executors that are kept for a request that waits. */
+struct PlannedReservation {
+    /*! @brief Index of the request. */
+    std::size_t request { 0 };
+    /*! @brief Index of each node, in ascending order. */
+    std::vector<std::size_t> nodes;
+    /*! @brief Forecast of the time until the request can start, ms; infinite if it is unknown. */
+    double startMs { 0 };
+    /*! @brief Indices of the requests that would start now without the reservations. */
+    std::vector<std::size_t> delayed;
 };
 
 /*! @brief Tasks to start and runs to evict. */
@@ -71,6 +94,9 @@
     std::vector<PlannedStart> starts;
     /*! @brief Handles of the runs to evict. */
     std::vector<std::size_t> evictions;
+    /*! @brief Handles of the runs that make way for the step whose reservation they use. */
+    std::vector<std::size_t> yields;
+    std::vector<PlannedReservation> reservations;
 };
 
 }
--- a/test/lycheespool/controller/cluster_simulation.h
+++ b/test/lycheespool/controller/cluster_simulation.h
@@ -65,6 +65,10 @@
     bool isCancelled { false };
     std::int64_t cancelledMs { 0 };
     std::int64_t endedMs { -1 };
+    /*! @brief First start of a task, -1 before. */
+    std::int64_t startedMs { -1 };
+    /*! @brief Latest start of a task, -1 before. */
+    std::int64_t latestStartMs { -1 };
 };
 
 /**
@@ -526,8 +530,11 @@
 
     void start(Executor& executor, const RunKey& key)
     {
-        const auto& job = m_jobs.at(key.task.job);
+        auto& job = m_jobs.at(key.task.job);
         const auto& step = job.row.request.steps[key.task.position.step];
+        job.latestStartMs = m_nowMs;
+        if (job.startedMs < 0)
+            job.startedMs = m_nowMs;
         checkStart(executor, key, job, step);
         Run run;
         run.startedMs = m_nowMs;
--- a/test/lycheespool/dispatch/duration_model.cpp
+++ b/test/lycheespool/dispatch/duration_model.cpp
@@ -98,3 +98,13 @@
     CHECK(model.forecast("queue", 2500).spread < before / 2);
     CHECK(model.forecast("queue", 2500).upperMs(2) > 2500);
 }
+
+// Guards against an underestimated run that looks as if it were about to end for as long as it lasts.
+TEST_CASE("the remaining time of a run that exceeds its forecast grows with its age")
+{
+    const DurationForecast forecast { 1000, 0.5 };
+    CHECK(forecast.remainingMs(0) == 1000);
+    CHECK(forecast.remainingMs(200) == 800);
+    CHECK(forecast.remainingMs(1000) > 300);
+    CHECK(forecast.remainingMs(8000) > 2 * forecast.remainingMs(2000));
+}
--- a/test/lycheespool/dispatch/start_planner.cpp
+++ b/test/lycheespool/dispatch/start_planner.cpp
@@ -480,3 +480,133 @@
     CHECK(starts[0] <= 3);
     CHECK(starts[0] + starts[1] == 6);
 }
+
+namespace {
+
+/*! @brief One executor on which a task that ends after a time leaves some accelerators free. */
+std::vector<NodeCapacity> occupiedNode(double remainingMs, std::int64_t freeAccelerators)
+{
+    auto cluster = nodes(1);
+    const ResourceVector charged { 1000, 2000, 8 - freeAccelerators };
+    cluster[0].free -= charged;
+    cluster[0].releases.push_back({ charged, remainingMs });
+    return cluster;
+}
+
+StartRequest waitingGang()
+{
+    auto request = tasks(1, 8, true);
+    request.step = 1;
+    return request;
+}
+
+StartRequest starvedTask(double runTimeMs)
+{
+    auto request = tasks(1, 1);
+    request.step = 2;
+    request.runTimeMs = runTimeMs;
+    request.isStarved = true;
+    return request;
+}
+
+}
+
+// Guards against reservations that keep idle resources from work that would have ended before they are needed.
+TEST_CASE("a starved request uses reserved executors if it ends before the reserving request can start")
+{
+    const auto cluster = occupiedNode(5000, 3);
+    const std::vector<StartRequest> shorter { waitingGang(), starvedTask(2000) };
+    const auto plan = StartPlanner { cluster }.plan(shorter);
+    REQUIRE(plan.starts.size() == 1);
+    CHECK(plan.starts[0].request == 1);
+    CHECK(plan.starts[0].yieldsTo == std::map<std::size_t, std::size_t> { { 0, 1 } });
+    const std::vector<StartRequest> longer { waitingGang(), starvedTask(6000) };
+    const auto delayed = StartPlanner { cluster }.plan(longer);
+    CHECK(delayed.starts.empty());
+    REQUIRE(delayed.reservations.size() == 1);
+    CHECK(delayed.reservations[0].startMs == 5000);
+    CHECK(delayed.reservations[0].delayed == std::vector<std::size_t> { 1 });
+    auto fresh = shorter;
+    fresh[1].isStarved = false;
+    CHECK(StartPlanner { cluster }.plan(fresh).starts.empty());
+}
+
+// Guards against jobs with nothing running beside idle executors, and against giving those up while they are in use or
+// about to be used.
+TEST_CASE("a starved request uses reserved executors while most of the capacity is idle")
+{
+    const auto startsBeside = [](double remainingMs, std::int64_t freeAccelerators, const StartRequest& starved) {
+        const std::vector<StartRequest> requests { waitingGang(), starved };
+        return StartPlanner { occupiedNode(remainingMs, freeAccelerators) }.plan(requests).starts.size();
+    };
+    CHECK(startsBeside(5000, 7, starvedTask(60000)) == 1);
+    CHECK(startsBeside(100, 7, starvedTask(60000)) == 0);
+    CHECK(startsBeside(5000, 3, starvedTask(60000)) == 0);
+    auto service = starvedTask(60000);
+    service.isService = true;
+    CHECK(startsBeside(5000, 3, service) == 1);
+    CHECK(startsBeside(5000, 1, service) == 0);
+}
+
+// Guards against a gang that waits longer because of work that was started on its executors meanwhile.
+TEST_CASE("runs that use a reservation stop for the reserving request, and only once it can start otherwise")
+{
+    const std::vector<StartRequest> requests { waitingGang(), starvedTask(300) };
+    const auto withRun = [](NodeCapacity node, std::size_t yieldsTo) {
+        node.free -= { 1000, 2000, 1 };
+        EvictableRun run { 7, 0, 3, { 1000, 2000, 1 }, 50 };
+        run.yieldsTo = yieldsTo;
+        run.remainingMs = 9000;
+        node.evictable.push_back(run);
+        return std::vector { node };
+    };
+    const auto early = StartPlanner { withRun(occupiedNode(5000, 3)[0], 1) }.plan(requests);
+    CHECK(early.yields.empty());
+    REQUIRE(early.reservations.size() == 1);
+    CHECK(early.reservations[0].startMs == 5000);
+    const auto due = StartPlanner { withRun(nodes(1)[0], 1) }.plan(requests);
+    CHECK(due.yields == std::vector<std::size_t> { 7 });
+    CHECK(due.evictions.empty());
+    // What the stop frees is not given away, not even to a task that would end before the stop.
+    CHECK(std::ranges::all_of(due.starts, [](const auto& it) { return !it.yieldsTo.empty(); }));
+    const auto other = StartPlanner { withRun(nodes(1)[0], 3) }.plan(requests);
+    CHECK(other.yields.empty());
+}
+
+// Guards against a reservation without a time limit: a last attempt waits for reliable executors although enough others
+// are free, and nobody could use those.
+TEST_CASE("a request that waits although enough is free keeps nothing from work that can yield")
+{
+    auto cluster = nodes(2);
+    cluster[0].reliability = NodeReliability::failedOnce;
+    cluster[1].free.accelerators = 0;
+    cluster[1].releases.push_back({ { 0, 0, 8 }, 5000 });
+    auto last = tasks(1, 8, true);
+    last.isLastAttempt = true;
+    last.step = 1;
+    const std::vector<StartRequest> requests { last, starvedTask(2000) };
+    const auto plan = StartPlanner { cluster }.plan(requests);
+    REQUIRE(plan.starts.size() == 1);
+    CHECK(plan.starts[0].request == 1);
+}
+
+// Guards against jobs with nothing running because their preferred executors are in use while all others are idle.
+TEST_CASE("a starved request accepts another rack, avoided executors and those that failed once")
+{
+    auto cluster = nodes(6);
+    for (const auto i : { 0U, 1U, 2U })
+        cluster[i].free.accelerators = 4;
+    for (const auto i : { 3U, 4U, 5U })
+        cluster[i].reliability = NodeReliability::failedOnce;
+    auto local = tasks(1, 8);
+    local.dataRack = "r0";
+    auto last = tasks(1, 8, true);
+    last.isLastAttempt = true;
+    auto avoiding = tasks(1, 8, true);
+    avoiding.avoidedNodes = { "n3", "n4", "n5" };
+    for (auto request : { local, last, avoiding }) {
+        CHECK(planOne(cluster, request).starts.empty());
+        request.isStarved = true;
+        CHECK(planOne(cluster, request).starts.size() == 1);
+    }
+}
