placement: compute a reserved start again when it has passed

Callers would see: short jobs wait beside idle workers for as long as a run lasts that a large job waits for and that has exceeded its estimate; not seen by users. Cause: Planner computed the reserved start once. Once it had passed, every other job was expected to end too late. Change: an overdue reserved start is computed again, from estimates that grow with the elapsed time. Backfilled work is stopped whenever the reserving job can start otherwise; before, only after the reserved start, which now moves. Tests: "short jobs fill a reserved place again after the reserved start has passed" fails with the change undone (no start). Without the second part "the large job at the head of the queue starts within the aging limit" failed.

--- a/src/lycheespool/placement/planner_queue.cpp
+++ b/src/lycheespool/placement/planner_queue.cpp
@@ -25,9 +25,8 @@
     const auto& job = m_jobs[index];
     const auto aged = now - job.waitingSince >= agingLimit;
     const auto canEvict = [&](const PlannerJob& it) {
-        const auto overdue = it.backfilled && now >= m_reservation.estimatedStart;
         const auto preemptible = aged && it.urgency != Urgency::urgent && now - it.startedAt >= minimumRun;
-        return !it.guaranteed && it.state == PlacementState::running && (overdue || preemptible);
+        return !it.guaranteed && it.state == PlacementState::running && (it.backfilled || preemptible);
     };
     const auto best = cheapestEviction({ m_reservation.placement }, job.shape.perTask, now, canEvict);
     if (!best)
@@ -78,15 +77,19 @@
 
 void Planner::reserveFor(Index index, TimePoint now)
 {
-    if (m_reservation.job != noIndex || m_jobs[index].state != PlacementState::waiting)
+    // The runs that the reserved start waits for have exceeded their estimates.
+    const auto isOverdue = m_reservation.job == index && now >= m_reservation.estimatedStart;
+    if ((m_reservation.job != noIndex && !isOverdue) || m_jobs[index].state != PlacementState::waiting)
         return;
     if (m_reservationTriedAt && now - *m_reservationTriedAt < reservationPeriod)
         return;
     m_reservationTriedAt = now;
     // Avoids the capacity of guaranteed cells where possible, because guaranteed work may occupy it indefinitely.
-    m_reservation = findReservation(index, now, true);
-    if (m_reservation.job == noIndex)
-        m_reservation = findReservation(index, now, false);
+    auto reservation = findReservation(index, now, true);
+    if (reservation.job == noIndex)
+        reservation = findReservation(index, now, false);
+    if (reservation.job != noIndex)
+        m_reservation = std::move(reservation);
 }
 
 Reservation Planner::findReservation(Index index, TimePoint now, bool avoidCells) const
--- a/test/lycheespool/placement/planner.cpp
+++ b/test/lycheespool/placement/planner.cpp
@@ -146,6 +146,29 @@
     CHECK(jobsOf<StartGang>(planner.plan(now)) == std::vector { JobId { "large" } });
 }
 
+// Guards against idle workers that are kept for a large job whose reserved start has passed, for as long as a run that
+// exceeds its estimate lasts.
+TEST_CASE("short jobs fill a reserved place again after the reserved start has passed")
+{
+    auto planner = makePlanner(1, 1, 2);
+    planner.setGuarantees(guarantee("owner", { Adjacency::worker, 1, { 4, 1000, 8 }, 1 }), {});
+    TimePoint now {};
+    planner.submit(makeJob("running", "owner", 1, 8), now);
+    CHECK(planner.plan(now).size() == 1);
+    planner.submit(makeJob("large", "s", 2, 8), now);
+    CHECK(planner.plan(now).empty());
+    now += 2h;
+    auto brief = makeJob("short", "s", 1, 4);
+    brief.declaredRunTime = 5min;
+    planner.submit(brief, now);
+    CHECK(jobsOf<StartGang>(planner.plan(now)) == std::vector { JobId { "short" } });
+    now += 3h;
+    planner.finished(JobId { "running" }, now);
+    CHECK(jobsOf<EvictGang>(planner.plan(now)) == std::vector { JobId { "short" } });
+    planner.released(JobId { "short" }, now);
+    CHECK(jobsOf<StartGang>(planner.plan(now)) == std::vector { JobId { "large" } });
+}
+
 // Guards against estimates that repeat a declared run time although finished runs contradict it.
 TEST_CASE("run times are corrected by the finished runs of a workspace and kind")
 {
