controller: forecast run ends only for starved work, and never let a step yield to itself

Cause: read again: the ends of all runs were forecast in each plan, though only starved work asks for them; and a step whose failed tasks hold a reservation could backfill it with its other tasks and then stop them. Change: forecasts only while a starved request waits; a reservation is not backfilled by its own step; start_delayed only for starved work, and executors_reserved without a time, which would mostly be unknown.

--- a/src/lycheespool/controller/controller.h
+++ b/src/lycheespool/controller/controller.h
@@ -249,6 +249,8 @@
         std::vector<RunKey> keys;
         /*! @brief Runs by the executor lifetime that they run on. */
         std::map<Lifetime, std::vector<EvictableRun>> byLifetime;
+        /*! @brief The times until the runs end are known. */
+        bool hasForecasts { false };
     };
 
     // Jobs.
@@ -322,7 +324,7 @@
     void recordWork(ExecutorView& node, const LiveRun& run, TimePoint now);
     void recordSuccess(ExecutorView& node, const LiveRun& run, const ClockReading& now);
     void startSuspicion(ExecutorView& node, bool isFailedProbe, TimePoint now);
-    [[nodiscard]] EvictableRuns evictableRuns(const StepNumbers& steps, TimePoint now) const;
+    [[nodiscard]] EvictableRuns evictableRuns(const StepNumbers& steps, bool withForecasts, TimePoint now) const;
     [[nodiscard]] std::size_t unavailableTasks(
         const ManagedWorkload& job, const TaskPosition& position, TimePoint now) const;
     [[nodiscard]] std::map<std::string, std::vector<NodeCapacity>> plannerNodes(
--- a/src/lycheespool/controller/controller_planning.cpp
+++ b/src/lycheespool/controller/controller_planning.cpp
@@ -289,7 +289,9 @@
     std::erase_if(m_delayedSteps, [&](const auto& it) { return !steps.contains(it.first); });
     if (waiting.empty())
         return nextDue;
-    const auto evictable = evictableRuns(steps, now.steady);
+    // Only starved work depends on the times at which other work ends, and forecasts for all runs take long.
+    const bool hasStarved = std::ranges::any_of(waiting, [](const auto& it) { return it.request.isStarved; });
+    const auto evictable = evictableRuns(steps, hasStarved, now.steady);
     for (auto& [service, nodes] : plannerNodes(evictable, now.steady))
         planService(service, std::move(nodes), evictable, waiting, now);
     return nextDue;
@@ -317,9 +319,10 @@
 }
 
 /*! @brief Collects the runs that other work may evict; the members of a gang share a group and its whole cost. */
-Controller::EvictableRuns Controller::evictableRuns(const StepNumbers& steps, TimePoint now) const
+Controller::EvictableRuns Controller::evictableRuns(const StepNumbers& steps, bool withForecasts, TimePoint now) const
 {
     EvictableRuns runs;
+    runs.hasForecasts = withForecasts;
     const auto guaranteed = guaranteedJobs();
     std::map<std::tuple<std::string, std::uint32_t, std::uint32_t, std::uint64_t>, std::size_t> groups;
     std::map<std::size_t, double> groupCost;
@@ -333,7 +336,8 @@
         EvictableRun it { runs.keys.size(), 0, policyOf(job).priority + 1, run.charged, evictionCost(key, run, now) };
         it.isService = step.isService;
         it.yieldsTo = numberOf(run.yieldsTo, steps);
-        it.remainingMs = timeUntilReleaseMs(key, run, now);
+        if (withForecasts)
+            it.remainingMs = timeUntilReleaseMs(key, run, now);
         if (step.isService && step.maxUnavailable > 0) {
             const auto& position = key.task.position;
             const auto [limit, isNew] = limits.try_emplace({ key.task.job, position.occurrence, position.step });
@@ -380,7 +384,7 @@
         busy[run.lifetime] += run.charged;
         ++counts[run.lifetime];
         // The keys are in the order of the runs.
-        if (!std::ranges::binary_search(evictable.keys, key))
+        if (evictable.hasForecasts && !std::ranges::binary_search(evictable.keys, key))
             releases[run.lifetime].push_back({ run.charged, timeUntilReleaseMs(key, run, now) });
         if (!showsWork(run, now))
             ++trials[run.lifetime];
@@ -469,7 +473,8 @@
     logReservations(plan, positions, names, waiting);
 }
 
-/*! @brief Logs once for each waiting step that executors are reserved for it, or that it waits for a reservation. */
+/*! @brief Logs once for each waiting step that executors are reserved for it, or that it is starved by a reservation.
+ */
 void Controller::logReservations(const StartPlan& plan, const std::vector<std::size_t>& positions,
     const std::vector<std::string>& names, const std::vector<WaitingStep>& waiting)
 {
@@ -483,8 +488,7 @@
             std::ranges::transform(
                 it.nodes, std::back_inserter(nodes), [&](std::size_t position) { return names[position]; });
             logEvent("executors_reserved",
-                { { "step", holder.toString() }, { "nodes", nodes }, { "expected_start_ms", startMs },
-                    { "epoch", m_epoch.value() } });
+                { { "step", holder.toString() }, { "nodes", nodes }, { "epoch", m_epoch.value() } });
         }
         for (const auto request : it.delayed) {
             const auto delayed = nameOf(request);
@@ -492,7 +496,7 @@
             if (!isNew && std::exchange(known->second, holder) == holder)
                 continue;
             m_startsDelayed.add();
-            const auto& runTimeMs = waiting[positions[request]].request.runTimeMs;
+            const auto runTimeMs = waiting[positions[request]].request.runTimeMs;
             logEvent("start_delayed",
                 { { "step", delayed.toString() }, { "reserved_for", holder.toString() },
                     { "expected_start_ms", startMs },
--- a/src/lycheespool/dispatch/start_planner.cpp
+++ b/src/lycheespool/dispatch/start_planner.cpp
@@ -53,7 +53,8 @@
                 places = find(request, { .reliability = NodeReliability::suspected, .withAvoided = true });
         }
         if (places.empty()) {
-            recordDelay(i, request, plan);
+            if (request.isStarved)
+                recordDelay(i, request, plan);
             reserve(i, request, plan);
         } else {
             startOn(i, request, places, plan);
@@ -298,7 +299,8 @@
 /*! @brief Checks if a request may use a reserved executor until the reserving request starts. */
 bool StartPlanner::mayBackfill(const StartRequest& request, const Reservation& reservation) const
 {
-    if (!request.isStarved)
+    // Tasks of the reserving step itself wait for it, since runs that yield to their own step would be repeated.
+    if (!request.isStarved || (reservation.step != 0 && reservation.step == request.step))
         return false;
     return request.runTimeMs < reservation.startMs || (reservation.startMs > minUsefulMs && m_usesIdleCapacity);
 }
@@ -380,7 +382,7 @@
     plan.reservations.push_back(std::move(planned));
 }
 
-/*! @brief Records for which reservation a request waits, if only reservations keep it from starting. */
+/*! @brief Records for which reservation a starved request waits, if only reservations keep it from starting. */
 void StartPlanner::recordDelay(std::size_t index, const StartRequest& request, StartPlan& plan) const
 {
     if (plan.reservations.empty())
--- a/src/lycheespool/dispatch/start_request.h
+++ b/src/lycheespool/dispatch/start_request.h
@@ -85,7 +85,7 @@
     std::vector<std::size_t> nodes;
     /*! @brief Forecast of the time until the request can start, ms; infinite if it is unknown. */
     double startMs { 0 };
-    /*! @brief Indices of the requests that would start now without the reservations. */
+    /*! @brief Indices of the starved requests that would start now without the reservations. */
     std::vector<std::size_t> delayed;
 };
 
