dispatch: no gang backfills by its forecast, and an unknown reserved start admits nothing

A gang that backfilled lost the work of all its members when one had to yield, and a reserved start of unknown time let all finite work in. Change: backfilling by forecast takes a known time and no gang. Gangs still start beside much idle capacity.

--- a/src/lycheespool/dispatch/start_planner.cpp
+++ b/src/lycheespool/dispatch/start_planner.cpp
@@ -302,7 +302,10 @@
     // Tasks of the reserving step itself wait for it, since runs that yield to their own step would be repeated.
     if (!request.isStarved || (reservation.step != 0 && reservation.step == request.step))
         return false;
-    return request.runTimeMs < reservation.startMs || (reservation.startMs > minUsefulMs && m_usesIdleCapacity);
+    // A gang that has to yield loses the work of all its members. An unknown time limits nothing.
+    const bool endsBefore
+        = !request.isGang && !std::isinf(reservation.startMs) && request.runTimeMs < reservation.startMs;
+    return endsBefore || (reservation.startMs > minUsefulMs && m_usesIdleCapacity);
 }
 
 /*! @brief Takes the resources of the places; returns the steps whose reservations are used, by node. */
--- a/test/lycheespool/dispatch/start_planner.cpp
+++ b/test/lycheespool/dispatch/start_planner.cpp
@@ -529,6 +529,9 @@
     auto fresh = shorter;
     fresh[1].isStarved = false;
     CHECK(StartPlanner { cluster }.plan(fresh).starts.empty());
+    auto gang = shorter;
+    gang[1].isGang = true;
+    CHECK(StartPlanner { cluster }.plan(gang).starts.empty());
     auto sibling = shorter;
     sibling[1].step = sibling[0].step;
     CHECK(StartPlanner { cluster }.plan(sibling).starts.empty());
