--- a/src/lycheespool/dispatch/start_planner.cpp
+++ b/src/lycheespool/dispatch/start_planner.cpp
@@ -302,7 +302,7 @@
     // Tasks of the reserving step itself wait for it, since runs that yield to their own step would be repeated.
     if (!request.isStarved || (reservation.step != 0 && reservation.step == request.step))
         return false;
-    // A gang that has to yield loses the work of all its members. An unknown time limits nothing.
+    // A gang that has to yield loses the work of all its members. A start of unknown time may come at once.
     const bool endsBefore
         = !request.isGang && !std::isinf(reservation.startMs) && request.runTimeMs < reservation.startMs;
     return endsBefore || (reservation.startMs > minUsefulMs && m_usesIdleCapacity);
@@ -412,7 +412,7 @@
     const auto needsMost = [&](const NodeCapacity& it) { return request.perTask.copiesIn(it.capacity) <= 2; };
     if (!request.isGang && !std::ranges::any_of(m_nodes, needsMost))
         return;
-    // An executor has one reservation, so that its time and spare resources depend on one request only.
+    // An executor has one reservation, so that the time until it is needed depends on one request only.
     Scope scope { .withReleasing = true, .unreservedOnly = true };
     auto places = find(request, scope);
     if (places.empty()) {
--- a/test/lycheespool/controller/cluster_simulation.h
+++ b/test/lycheespool/controller/cluster_simulation.h
@@ -67,8 +67,6 @@
     std::int64_t endedMs { -1 };
     /*! @brief First start of a task, -1 before. */
     std::int64_t startedMs { -1 };
-    /*! @brief Latest start of a task, -1 before. */
-    std::int64_t latestStartMs { -1 };
 };
 
 /**
@@ -532,7 +530,6 @@
     {
         auto& job = m_jobs.at(key.task.job);
         const auto& step = job.row.request.steps[key.task.position.step];
-        job.latestStartMs = m_nowMs;
         if (job.startedMs < 0)
             job.startedMs = m_nowMs;
         checkStart(executor, key, job, step);
